--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -9,6 +9,7 @@
   {
     ignores: [
       '**/dist/**',
+      'target/**',
       '**/node_modules/**',
       '**/generated/**',
       '.tap/**',
--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -71,3 +71,8 @@
 export type { ServingDependencies } from './lib/serving/ServingDependencies';
 export type { ServingNode } from './lib/serving/ServingNode';
 export type { UpstreamState } from './lib/serving/UpstreamState';
+export { createCallScope } from './lib/http/createCallScope';
+export { forwardableHeaders } from './lib/http/forwardableHeaders';
+export { refuse } from './lib/http/refuse';
+export { loadHeader } from './lib/serving/loadHeader';
+export { parseLoadHeader } from './lib/serving/parseLoadHeader';
--- a/packages/leases/src/index.ts
+++ b/packages/leases/src/index.ts
@@ -20,5 +20,6 @@
 export type { LeaseResponder } from './lib/peers/LeaseResponder';
 export type { PromiseAnswer } from './lib/peers/PromiseAnswer';
 export type { PromiseRequest } from './lib/peers/PromiseRequest';
+export { rankMembers } from './lib/selection/rankMembers';
 export { defaultLeaseTiming } from './lib/timing/defaultLeaseTiming';
 export type { LeaseTiming } from './lib/timing/LeaseTiming';
--- /dev/null
+++ b/packages/limits/src/lib/ledger/createDemandRate.ts
@@ -0,0 +1,32 @@
+import type { Clock } from '@buckthornslip/common';
+
+/** Time constant of the estimate, in milliseconds. */
+const DEMAND_MILLISECONDS = 1_000;
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Smoothed rate of requests. */
+export interface DemandRate {
+  readonly note: () => void;
+  /** @returns Requests a second. */
+  readonly perSecond: () => number;
+}
+
+/**
+ * @param clock - Source of monotonic time.
+ * @returns The rate of requests, zero at first.
+ * @internal
+ */
+export function createDemandRate(clock: Clock): DemandRate {
+  let rate = 0;
+  let updatedMilliseconds = clock.monotonicMilliseconds();
+  return {
+    note: () => {
+      const now = clock.monotonicMilliseconds();
+      const decay = Math.exp((updatedMilliseconds - now) / DEMAND_MILLISECONDS);
+      rate = rate * decay + MILLISECONDS_PER_SECOND / DEMAND_MILLISECONDS;
+      updatedMilliseconds = now;
+    },
+    perSecond: () => rate,
+  };
+}
--- /dev/null
+++ b/packages/sidecar/src/index.ts
@@ -0,0 +1,19 @@
+/**
+ * The node beside an upstream on a platform that offers a store: entry, serving, directory of nodes and account limits.
+ *
+ * @packageDocumentation
+ */
+
+export type { AnswerHead } from './lib/protocol/AnswerHead';
+export type { CallProtocol } from './lib/protocol/CallProtocol';
+export type { RequestHead } from './lib/protocol/RequestHead';
+export type { UpstreamHeaders } from './lib/protocol/UpstreamHeaders';
+export type { PolicyError } from './lib/policy/createPolicyFollower';
+export { createSidecar } from './lib/process/createSidecar';
+export type { Sidecar } from './lib/process/createSidecar';
+export type { SidecarOptions } from './lib/process/SidecarOptions';
+export type { SidecarMetrics } from './lib/process/createSidecarMetrics';
+export type { UpstreamInstance } from './lib/serving/UpstreamInstance';
+export type { UpstreamRegistry, UpstreamView } from './lib/serving/UpstreamRegistry';
+export { createConnectionAgent } from './lib/http/createConnectionAgent';
+export { exchange } from './lib/http/exchange';
--- /dev/null
+++ b/packages/sidecar/src/lib/directory/createMemberDirectory.ts
@@ -0,0 +1,237 @@
+import type { Clock, HostId, RandomSource } from '@buckthornslip/common';
+import type { Member } from '@buckthornslip/membership';
+import type { Store } from '@buckthornslip/platform';
+import type { EventLogger } from '@buckthornslip/telemetry';
+import { filter, firstValueFrom, timeout, catchError, of } from 'rxjs';
+
+import { createMemberTable } from './createMemberTable';
+import { createStoreRecord } from './createStoreRecord';
+import type { DirectoryMessage } from './DirectoryMessage';
+import type { DirectoryPeers } from './DirectoryPeers';
+import { directoryTimes } from './directoryTimes';
+import type { MemberDirectory } from './MemberDirectory';
+import { parseMember } from './parseMember';
+
+/** What the directory works with. */
+export interface MemberDirectoryOptions {
+  /** Record of this node at its start. */
+  readonly self: Member;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly store: Store;
+  readonly peers: DirectoryPeers;
+  readonly logger: EventLogger;
+  /** @returns Revision of the policy in force here; 0 if there is none. */
+  readonly policyRevision: () => number;
+  /** Called when another node has a newer policy. */
+  readonly onNewerPolicy: (peerAddress: string, revision: number) => void;
+}
+
+const RECORD_PREFIX = 'buckthornslip/nodes/';
+
+/** Failed messages in a row after which a node is taken for dead. A single one may be lost with its connection. */
+const FAILURES_TO_DEATH = 2;
+
+function decodeMember(value: Uint8Array): Member | undefined {
+  try {
+    return parseMember(JSON.parse(Buffer.from(value).toString('utf8')));
+  } catch {
+    return undefined;
+  }
+}
+
+/**
+ * Creates the directory of nodes. Each node writes one record under a lease, reads the others once, and announces itself
+ * to them. As each one writes before it reads, of any two nodes at least one sees the other. After that nodes tell each
+ * other about changes, so that store calls do not grow with changes of upstreams.
+ *
+ * @param options - Own record, store and ways to the other nodes.
+ * @returns The directory, not yet started.
+ * @public
+ */
+export function createMemberDirectory(options: MemberDirectoryOptions): MemberDirectory {
+  const { clock, logger, onNewerPolicy, peers, policyRevision, random, store } = options;
+  const table = createMemberTable();
+  const failures = new Map<HostId, number>();
+  const lastSeen = new Map<HostId, number>();
+  const verifying = new Set<HostId>();
+  let { self } = options;
+  let isClosed = false;
+  let rounds = 0;
+  table.merge(self);
+
+  const isSelf = ({ host }: Member): boolean => host === self.host;
+  const others = (): Member[] => table.all().filter((member) => !isSelf(member));
+  const livePeers = (): Member[] => others().filter(({ alive }) => alive);
+
+  const message = (withMembers: boolean): DirectoryMessage => ({
+    from: self,
+    digest: table.digest(),
+    policyRevision: policyRevision(),
+    ...(withMembers ? { members: table.all().filter(({ alive }) => alive) } : {}),
+  });
+
+  const noteSeen = (member: Member): void => {
+    failures.delete(member.host);
+    lastSeen.set(member.host, clock.monotonicMilliseconds());
+    table.setAlive(member.host, true);
+  };
+
+  const learn = (member: Member, source: string): void => {
+    if (isSelf(member)) return;
+    const known = table.get(member.host);
+    if (!table.merge(member)) return;
+    lastSeen.set(member.host, clock.monotonicMilliseconds());
+    if (known?.state === member.state && known.incarnation === member.incarnation) return;
+    const { host, incarnation, service, state, version } = member;
+    logger.log('memberChanged', { host, incarnation, service, state, version, source });
+    if (known?.incarnation !== member.incarnation && source !== 'itself') void announceTo(member);
+  };
+
+  const noteFailure = (member: Member): void => {
+    const count = (failures.get(member.host) ?? 0) + 1;
+    failures.set(member.host, count);
+    if (count < FAILURES_TO_DEATH || !table.get(member.host)?.alive) return;
+    logger.log('memberUnreachable', {
+      host: member.host,
+      service: member.service,
+      failures: count,
+    });
+    table.setAlive(member.host, false);
+  };
+
+  const takeIn = (received: DirectoryMessage): void => {
+    learn(received.from, 'itself');
+    noteSeen(received.from);
+    received.members?.forEach((member) => learn(member, received.from.host));
+    if (received.policyRevision > policyRevision()) {
+      onNewerPolicy(received.from.peerAddress, received.policyRevision);
+    }
+  };
+
+  async function announceTo(member: Member): Promise<boolean> {
+    const answer = await peers.exchange(member.peerAddress, message(false));
+    if (isClosed) return false;
+    if (!answer) {
+      noteFailure(member);
+      return false;
+    }
+    takeIn(answer);
+    return true;
+  }
+
+  const announceToAll = (): void => {
+    livePeers().forEach((member) => {
+      void announceTo(member);
+    });
+  };
+
+  const verify = async (host: HostId): Promise<void> => {
+    const member = table.get(host);
+    if (!member || isSelf(member) || verifying.has(host)) return;
+    verifying.add(host);
+    for (let tries = 0; tries < FAILURES_TO_DEATH; tries += 1) {
+      if (await announceTo(member)) break;
+    }
+    verifying.delete(host);
+  };
+
+  const readStore = async (): Promise<void> => {
+    const listing = await store.list(RECORD_PREFIX);
+    if (!listing.ok || isClosed) return;
+    const hosts = new Set<HostId>();
+    listing.value.entries.forEach((entry) => {
+      const member = decodeMember(entry.value);
+      if (!member) {
+        logger.log('recordRejected', { key: entry.key, revision: entry.revision });
+        return;
+      }
+      hosts.add(member.host);
+      learn(member, 'store');
+    });
+    const forgetBefore = clock.monotonicMilliseconds() - directoryTimes.forget;
+    others()
+      .filter(({ host }) => !hosts.has(host) && (lastSeen.get(host) ?? 0) < forgetBefore)
+      .forEach(({ host }) => {
+        table.remove(host);
+        logger.log('memberForgotten', { host, storeRevision: listing.value.revision });
+      });
+  };
+
+  const record = createStoreRecord({
+    clock,
+    store,
+    logger,
+    key: `${RECORD_PREFIX}${self.host}`,
+    value: () => Buffer.from(JSON.stringify(self)),
+    onWritten: () => {
+      void readStore();
+    },
+  });
+
+  const pick = (members: readonly Member[]): Member | undefined =>
+    members[random.nextInteger(Math.max(1, members.length))];
+
+  const compareWithOthers = async (): Promise<void> => {
+    while (!isClosed) {
+      await clock.sleep(directoryTimes.comparison * (0.75 + random.next() / 2));
+      rounds += 1;
+      const live = pick(livePeers());
+      if (live) void announceTo(live);
+      // A node that has restarted while the store was away knows nobody; those who knew it find it again.
+      const dead = pick(others().filter(({ alive, state }) => !alive && state !== 'left'));
+      if (dead) void announceTo(dead);
+      if (rounds % Math.round(directoryTimes.reading / directoryTimes.comparison) === 0) {
+        void readStore();
+      }
+    }
+  };
+
+  const isUsable = (members: readonly Member[]): boolean =>
+    members.some(({ alive, state }) => alive && state === 'ready');
+
+  return {
+    self: () => self,
+    members: table.ofService,
+    changes: table.changes,
+    waitForMembers: (service, timeoutMilliseconds) => {
+      const known = table.ofService(service);
+      if (isUsable(known)) return Promise.resolve(known);
+      return firstValueFrom(
+        table.changes(service).pipe(
+          filter(isUsable),
+          timeout(timeoutMilliseconds),
+          catchError(() => of(table.ofService(service))),
+        ),
+      );
+    },
+    suspect: (host) => {
+      void verify(host);
+    },
+    start: () => {
+      record.start();
+      void compareWithOthers();
+    },
+    update: (change) => {
+      self = { ...self, ...change, version: self.version + 1 };
+      table.merge(self);
+      announceToAll();
+    },
+    livePeers,
+    find: table.get,
+    receive: (received) => {
+      takeIn(received);
+      return message(received.digest !== table.digest());
+    },
+    leave: async () => {
+      self = { ...self, state: 'left', version: self.version + 1 };
+      table.merge(self);
+      await Promise.all(livePeers().map((member) => announceTo(member)));
+      await record.withdraw();
+    },
+    close: () => {
+      isClosed = true;
+      record.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/directory/createStoreRecord.ts
@@ -0,0 +1,97 @@
+import type { Clock, Result } from '@buckthornslip/common';
+import { failure } from '@buckthornslip/common';
+import type { Store, StoreError, StoreLeaseId } from '@buckthornslip/platform';
+import type { EventLogger } from '@buckthornslip/telemetry';
+
+import { directoryTimes } from './directoryTimes';
+
+/** What the record works with. */
+interface StoreRecordOptions {
+  readonly clock: Clock;
+  readonly store: Store;
+  readonly key: string;
+  /** @returns The value to write. */
+  readonly value: () => Uint8Array;
+  readonly logger: EventLogger;
+  /** Called each time the record has been written anew. */
+  readonly onWritten: () => void;
+}
+
+/**
+ * This node's record in the store, kept by a lease.
+ *
+ * @internal
+ */
+export interface StoreRecord {
+  readonly start: () => void;
+  readonly withdraw: () => Promise<void>;
+  readonly close: () => void;
+}
+
+/**
+ * Creates the keeper of this node's record. It writes the record again whenever its lease has ended.
+ *
+ * @param options - Store, key and value.
+ * @returns The keeper, not yet started.
+ * @internal
+ */
+export function createStoreRecord(options: StoreRecordOptions): StoreRecord {
+  const { clock, key, logger, onWritten, store, value } = options;
+  let lease: StoreLeaseId | undefined;
+  let isClosed = false;
+  let isReachable = true;
+
+  const noteReachable = (reachable: boolean, reason?: string): void => {
+    if (reachable === isReachable) return;
+    isReachable = reachable;
+    logger.log(reachable ? 'storeRegained' : 'storeLost', { key, reason });
+  };
+
+  const put = async (leaseId: StoreLeaseId): Promise<Result<unknown, StoreError>> => {
+    const first = await store.compareAndSwap(key, 0, value(), leaseId);
+    if (first.ok || first.error.kind !== 'conflict') return first;
+    // A record of an earlier process on this host is replaced.
+    const revision = first.error.current?.revision ?? 0;
+    return store.compareAndSwap(key, revision, value(), leaseId);
+  };
+
+  const write = async (): Promise<Result<unknown, StoreError>> => {
+    const granted = await store.grantLease(directoryTimes.lease);
+    if (!granted.ok) return granted;
+    const written = await put(granted.value.id);
+    if (!written.ok) return written;
+    lease = granted.value.id;
+    onWritten();
+    return written;
+  };
+
+  const renew = async (): Promise<Result<unknown, StoreError>> => {
+    if (lease === undefined) return failure({ kind: 'lease-not-found' });
+    const renewed = await store.keepAlive(lease);
+    if (!renewed.ok && renewed.error.kind === 'lease-not-found') lease = undefined;
+    return renewed;
+  };
+
+  const run = async (): Promise<void> => {
+    while (!isClosed) {
+      const result = await (lease === undefined ? write() : renew());
+      noteReachable(result.ok || lease === undefined, result.ok ? undefined : result.error.kind);
+      const isRewritten = !result.ok && result.error.kind === 'lease-not-found';
+      const pause = result.ok ? directoryTimes.renewal : directoryTimes.retry;
+      if (!isRewritten) await clock.sleep(pause);
+    }
+  };
+
+  return {
+    start: () => {
+      void run();
+    },
+    withdraw: async () => {
+      isClosed = true;
+      if (lease !== undefined) await store.revokeLease(lease);
+    },
+    close: () => {
+      isClosed = true;
+    },
+  };
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/directory/parseMember.ts
@@ -0,0 +1,49 @@
+import type { HostId, Incarnation, RegionId, ServiceId, ZoneId } from '@buckthornslip/common';
+import type { Member, MemberState } from '@buckthornslip/membership';
+
+const STATES: ReadonlySet<unknown> = new Set<MemberState>([
+  'starting',
+  'ready',
+  'draining',
+  'left',
+]);
+
+const isText = (value: unknown): value is string => typeof value === 'string' && value !== '';
+
+const isCount = (value: unknown): value is number => Number.isFinite(value) && Number(value) >= 0;
+
+/**
+ * Checks a record that another node wrote. Written by hand, because a schema library would cost a tenth of the node's
+ * memory for this one message.
+ *
+ * @param value - Decoded JSON.
+ * @returns The record, or undefined if it is malformed.
+ * @internal
+ */
+export function parseMember(value: unknown): Member | undefined {
+  if (typeof value !== 'object' || value === null) return undefined;
+  const record = value as Readonly<Record<keyof Member, unknown>>;
+  const { controlAddress, host, peerAddress, region, service, state, zone } = record;
+  const { connections, incarnation, slots, version } = record;
+  const hasPlace = isText(host) && isText(region) && isText(zone);
+  const hasAddresses = isText(peerAddress) && isText(controlAddress);
+  if (!hasPlace || !hasAddresses || !STATES.has(state)) return undefined;
+  if (!isCount(incarnation) || !isCount(version) || !isCount(slots) || !isCount(connections)) {
+    return undefined;
+  }
+  if (service !== undefined && !isText(service)) return undefined;
+  return {
+    host: host as HostId,
+    incarnation: incarnation as Incarnation,
+    version,
+    service: service as ServiceId | undefined,
+    region: region as RegionId,
+    zone: zone as ZoneId,
+    peerAddress,
+    controlAddress,
+    slots,
+    connections,
+    state: state as MemberState,
+    alive: true,
+  };
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/entry/EntryCall.ts
@@ -0,0 +1,16 @@
+import type { CallScope } from '@buckthornslip/calls';
+import type { PolicyRoute } from '@buckthornslip/config';
+
+import type { ServingCall } from '../serving/ServingCall';
+
+/**
+ * A request that has been let in and is on its way to a service.
+ *
+ * @internal
+ */
+export interface EntryCall {
+  readonly route: PolicyRoute;
+  /** The call as a serving node gets it. */
+  readonly call: ServingCall;
+  readonly scope: CallScope;
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/entry/EntryOptions.ts
@@ -0,0 +1,39 @@
+import type { Clock, HostId, RandomSource, ServiceId } from '@buckthornslip/common';
+import type { AccountGate } from '@buckthornslip/limits';
+import type { Router } from '@buckthornslip/routing';
+import type { EventLogger } from '@buckthornslip/telemetry';
+
+import type { ConnectionAgent } from '../http/ConnectionAgent';
+import type { PolicyFollower } from '../policy/PolicyFollower';
+import type { RouteTable } from '../policy/createRouteTable';
+import type { CallProtocol } from '../protocol/CallProtocol';
+import type { Serving } from '../serving/createServing';
+import type { SidecarMetrics } from '../process/createSidecarMetrics';
+import type { RetryAllowance } from './createRetryAllowance';
+
+/**
+ * What the entry side of a node works with.
+ *
+ * @internal
+ */
+export interface EntryOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: EventLogger;
+  readonly metrics: SidecarMetrics;
+  readonly protocol: CallProtocol;
+  readonly policy: PolicyFollower;
+  readonly routes: () => RouteTable | undefined;
+  readonly gate: AccountGate;
+  readonly router: Router;
+  readonly retries: RetryAllowance;
+  readonly serving: Serving;
+  /** Host of this node; calls that its own upstream serves take no connection. */
+  readonly host: HostId;
+  /** Service of the upstream beside this node, from which all requests at this entry come. */
+  readonly callerService: ServiceId;
+  /** @returns Connections to the node at an address. */
+  readonly connect: (address: string) => ConnectionAgent;
+  /** @returns Whether the node has been asked to stop, so that callers should not keep their connections. */
+  readonly isStopping: () => boolean;
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/entry/createEntry.ts
@@ -0,0 +1,226 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import type { Refusal } from '@buckthornslip/calls';
+import { createCallScope, forwardableHeaders, refuse } from '@buckthornslip/calls';
+import type { AccountId, Result } from '@buckthornslip/common';
+import { failure, success } from '@buckthornslip/common';
+import type { CallPolicy, PolicyAccount, PolicyRoute } from '@buckthornslip/config';
+
+import { readRequestBody } from '../http/readRequestBody';
+import { writeAnswer } from '../http/writeAnswer';
+import type { RouteEntry } from '../policy/createRouteTable';
+import type { RequestHead } from '../protocol/RequestHead';
+import { createForwarder } from './createForwarder';
+import type { EntryOptions } from './EntryOptions';
+import type { ForwardResult } from './ForwardResult';
+import { retryAfterOf } from './retryAfterOf';
+import { writeRefusal } from './writeRefusal';
+
+/** Handles the requests of callers and of the upstream beside this node. */
+export interface Entry {
+  readonly handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>;
+  /** @returns Requests that have no complete answer yet. */
+  readonly inProgress: () => number;
+}
+
+/** Longest time for a request that names neither a deadline nor a route with a timeout, in milliseconds. */
+const DEFAULT_TIMEOUT_MILLISECONDS = 30_000;
+
+/** A request that may go on. */
+interface Accepted {
+  readonly policy: CallPolicy;
+  readonly entry: RouteEntry;
+  readonly head: RequestHead;
+  /** Undefined on open routes. */
+  readonly account: PolicyAccount | undefined;
+}
+
+function timeoutOf(head: RequestHead, route: PolicyRoute): number {
+  return Math.min(
+    head.timeoutMilliseconds ?? DEFAULT_TIMEOUT_MILLISECONDS,
+    route.timeoutMilliseconds ?? DEFAULT_TIMEOUT_MILLISECONDS,
+  );
+}
+
+/** Requests on open routes are those of upstreams: they serve a call that runs already. */
+function rankOf({ account, entry }: Accepted): number {
+  return account ? Math.max(account.rank, entry.route.rank) : 0;
+}
+
+/**
+ * Creates the entry side of a node.
+ *
+ * @param options - What the entry side works with.
+ * @returns The entry.
+ * @internal
+ */
+export function createEntry(options: EntryOptions): Entry {
+  const { callerService, clock, gate, isStopping, logger, metrics, policy, protocol, random } =
+    options;
+  const forwarder = createForwarder(options);
+  let running = 0;
+
+  const accept = (request: IncomingMessage): Result<Accepted, Refusal> => {
+    const current = policy.current();
+    const routes = options.routes();
+    if (!current || !routes) return failure(refuse('configuration-missing'));
+    const entry = routes.match(request.headers.host ?? '', request.url ?? '');
+    if (!entry) return failure(refuse('route-not-found'));
+    const head = protocol.readRequest(request.headers);
+    if (head.requestId === undefined) return failure(refuse('header-invalid'));
+    if (entry.route.access === 'open') {
+      return success({ policy: current, entry, head, account: undefined });
+    }
+    if (head.key === undefined) return failure(refuse('key-missing'));
+    const account = current.accountOfKey.get(head.key);
+    if (!account) return failure(refuse('key-unknown'));
+    return success({ policy: current, entry, head, account });
+  };
+
+  const connectionHeaders = (): string[] => (isStopping() ? ['Connection', 'close'] : []);
+
+  const endHeaders = (request: IncomingMessage): string[] => {
+    // The rest of an unread body would have to be read before the next request.
+    if (!request.complete) return ['Connection', 'close'];
+    return connectionHeaders();
+  };
+
+  const withoutReserved = (raw: readonly string[]): string[] => {
+    const kept: string[] = [];
+    for (let index = 0; index < raw.length; index += 2) {
+      const name = raw[index] as string;
+      if (!protocol.reservedNames.has(name.toLowerCase()))
+        kept.push(name, raw[index + 1] as string);
+    }
+    return kept;
+  };
+
+  const callerHeaders = (raw: readonly string[]): string[] => {
+    const kept: string[] = [];
+    for (let index = 0; index < raw.length; index += 2) {
+      const name = raw[index] as string;
+      if (!protocol.answerOnlyNames.has(name.toLowerCase())) {
+        kept.push(name, raw[index + 1] as string);
+      }
+    }
+    return kept;
+  };
+
+  const reject = (
+    request: IncomingMessage,
+    response: ServerResponse,
+    refusal: Refusal,
+    rank: number,
+  ): number => {
+    metrics.countRefusal(refusal.reason, refusal.outcome);
+    if (response.destroyed) return 0;
+    const retryAfter = retryAfterOf(random, rank, refusal.retryAfterMilliseconds);
+    return writeRefusal(response, refusal, retryAfter, endHeaders(request));
+  };
+
+  const passGate = async (account: AccountId | undefined): Promise<Refusal | undefined> => {
+    const waiting = account === undefined ? undefined : gate.enter(account);
+    const refusal = waiting && (await waiting);
+    if (!refusal) return undefined;
+    const { reason, retryAfterMilliseconds } = refusal;
+    return { ...refuse(reason), retryAfterMilliseconds };
+  };
+
+  const run = async (
+    request: IncomingMessage,
+    response: ServerResponse,
+    accepted: Accepted,
+  ): Promise<ForwardResult | undefined> => {
+    const { account, entry, head } = accepted;
+    const { route } = entry;
+    const scope = createCallScope(clock, timeoutOf(head, route));
+    response.once('close', () => {
+      if (!response.writableFinished) scope.cancel('caller-gone');
+      scope.end();
+    });
+    const body = await readRequestBody(request);
+    if (!body) return undefined;
+    const refusal = await passGate(account?.id);
+    if (refusal) return { answer: refusal, attempts: 0, host: undefined };
+    return forwarder.forward({
+      route,
+      scope,
+      call: {
+        requestId: head.requestId as string,
+        service: entry.nextService(),
+        account: account?.id,
+        callerService,
+        rank: rankOf(accepted),
+        isNested: route.access === 'open',
+        repeatable: route.repeatable,
+        method: request.method as string,
+        target: request.url as string,
+        headers: withoutReserved(forwardableHeaders(request.rawHeaders)),
+        body,
+        scope,
+      },
+    });
+  };
+
+  const finish = async (
+    request: IncomingMessage,
+    response: ServerResponse,
+    accepted: Accepted,
+    result: ForwardResult,
+  ): Promise<number> => {
+    const { answer } = result;
+    if (answer.kind === 'refusal') return reject(request, response, answer, rankOf(accepted));
+    const headers = callerHeaders(answer.headers);
+    await writeAnswer(response, { ...answer, headers }, endHeaders(request));
+    return answer.status;
+  };
+
+  const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const arrivedMilliseconds = clock.monotonicMilliseconds();
+    const accepted = accept(request);
+    if (!accepted.ok) {
+      const status = reject(request, response, accepted.error, 0);
+      logger.log('callRejected', {
+        requestId: protocol.readRequest(request.headers).requestId,
+        reason: accepted.error.reason,
+        status,
+        policyRevision: policy.current()?.revision,
+      });
+      return;
+    }
+    const result = await run(request, response, accepted.value);
+    if (!result) return;
+    const status = await finish(request, response, accepted.value, result);
+    const milliseconds = Math.round(clock.monotonicMilliseconds() - arrivedMilliseconds);
+    const { account, entry, head } = accepted.value;
+    const { answer, attempts, host } = result;
+    metrics.observeCall(entry.route.name, status, milliseconds);
+    const isGood = answer.kind === 'answer' && answer.status < 500;
+    logger.log(isGood ? 'callAnswered' : 'callFailedFinally', {
+      requestId: head.requestId,
+      route: entry.route.name,
+      account: account?.id,
+      rank: rankOf(accepted.value),
+      policyRevision: accepted.value.policy.revision,
+      status,
+      reason: answer.kind === 'refusal' ? answer.reason : undefined,
+      outcome: answer.kind === 'refusal' ? answer.outcome : undefined,
+      attempts,
+      host,
+      milliseconds,
+    });
+  };
+
+  return {
+    inProgress: () => running,
+    handle: async (request, response) => {
+      running += 1;
+      let isCounted = true;
+      response.once('close', () => {
+        if (isCounted) running -= 1;
+        isCounted = false;
+      });
+      await serve(request, response);
+    },
+  };
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/entry/createForwarder.ts
@@ -0,0 +1,147 @@
+import type { Refusal } from '@buckthornslip/calls';
+import { refuse } from '@buckthornslip/calls';
+import type { Priority, RefusalReason } from '@buckthornslip/common';
+import type { Member } from '@buckthornslip/membership';
+
+import { sendToPeer } from '../peers/sendToPeer';
+import type { ServedAnswer, UpstreamAnswer } from '../serving/ServedAnswer';
+import type { CallProgress } from './createCallProgress';
+import { createCallProgress } from './createCallProgress';
+import type { EntryCall } from './EntryCall';
+import type { EntryOptions } from './EntryOptions';
+import type { ForwardResult } from './ForwardResult';
+
+/** Sends calls to serving nodes. */
+export interface Forwarder {
+  readonly forward: (entryCall: EntryCall) => Promise<ForwardResult>;
+}
+
+/** Nodes that one call may be sent to, those that refused before the call reached an upstream included. */
+const MOST_NODES = 4;
+
+/** Time that another attempt must have left, in milliseconds. */
+const SHORTEST_ATTEMPT_MILLISECONDS = 20;
+
+const SERVER_ERROR = 500;
+
+const PRIORITIES: readonly Priority[] = ['critical', 'high', 'normal', 'low'];
+
+/** Refusals of a serving node after which another node may serve the call. */
+const NODE_REASONS: ReadonlySet<RefusalReason> = new Set<RefusalReason>([
+  'no-upstream',
+  'node-stopping',
+  'peer-unreachable',
+  'priority-cutoff',
+  'queue-full',
+  'queue-timeout',
+  'upstream-draining',
+  'upstream-failed',
+  'upstream-shed',
+]);
+
+type ReportOutcome = 'answered' | 'refused' | 'failed' | 'silent' | 'cancelled';
+
+function reportOutcome(answer: UpstreamAnswer | Refusal): ReportOutcome {
+  if (answer.kind === 'answer') return answer.status >= SERVER_ERROR ? 'failed' : 'answered';
+  if (answer.reason === 'caller-gone' || answer.reason === 'deadline-exceeded') return 'cancelled';
+  const isFailure = answer.reason === 'peer-unreachable' || answer.reason === 'upstream-failed';
+  return isFailure ? 'failed' : 'refused';
+}
+
+/**
+ * Creates the sending of calls to serving nodes, with retries.
+ *
+ * @param options - What the entry side works with.
+ * @returns The forwarder.
+ * @internal
+ */
+export function createForwarder(options: EntryOptions): Forwarder {
+  const { clock, connect, host, logger, metrics, retries, router, serving } = options;
+
+  const send = async (member: Member, { call }: EntryCall): Promise<ServedAnswer> => {
+    const sentMilliseconds = clock.monotonicMilliseconds();
+    const served = await (member.host === host
+      ? serving.serve(call)
+      : sendToPeer(connect(member.peerAddress), call));
+    router.report({
+      host: member.host,
+      service: call.service,
+      outcome: reportOutcome(served.answer),
+      latencyMilliseconds: clock.monotonicMilliseconds() - sentMilliseconds,
+      transferredBytes: served.answer.kind === 'answer' ? served.answer.body.length : 0,
+      load: served.load,
+    });
+    return served;
+  };
+
+  const mayRepeat = (entryCall: EntryCall, progress: CallProgress): boolean => {
+    const { call, route, scope } = entryCall;
+    if (scope.cancelReason() !== undefined || progress.nodes() >= MOST_NODES) return false;
+    if (scope.remainingMilliseconds() < SHORTEST_ATTEMPT_MILLISECONDS) return false;
+    if (call.body.kind === 'stream') return false;
+    if (progress.offers() === 0) return true;
+    const isAllowed = progress.outcome() === 'not-run' || call.repeatable;
+    return isAllowed && progress.offers() < route.maximumUpstreams;
+  };
+
+  const isWorthRepeating = (answer: UpstreamAnswer | Refusal): boolean => {
+    if (answer.kind === 'answer') return answer.status >= SERVER_ERROR;
+    return NODE_REASONS.has(answer.reason);
+  };
+
+  const takeRetry = ({ call }: EntryCall, progress: CallProgress): boolean => {
+    // A call that no upstream has seen adds no arrival there.
+    if (progress.offers() === 0) return true;
+    const isTaken = retries.take(call.service);
+    const reason = progress.outcome() === 'not-run' ? 'retried-not-run' : 'retried-repeatable';
+    metrics.countRetry(isTaken ? reason : 'denied-service-ratio');
+    return isTaken;
+  };
+
+  const forward = async (entryCall: EntryCall): Promise<ForwardResult> => {
+    const { call, scope } = entryCall;
+    const progress = createCallProgress();
+    let last: Refusal = refuse('no-upstream');
+    retries.countFirstAttempt(call.service);
+    for (;;) {
+      const reason = scope.cancelReason();
+      if (reason !== undefined) return progress.finish(refuse(reason));
+      const chosen = await router.choose({
+        service: call.service,
+        priority: PRIORITIES[Math.min(call.rank, PRIORITIES.length - 1)] as Priority,
+        bodyBytes: undefined,
+        excludedHosts: progress.excludedHosts,
+      });
+      if (!chosen.ok)
+        return progress.finish(progress.nodes() > 0 ? last : refuse(chosen.error.kind));
+      const member = chosen.value;
+      progress.excludedHosts.add(member.host);
+      const { answer } = await send(member, entryCall);
+      if (!isWorthRepeating(answer)) {
+        if (answer.kind === 'refusal') {
+          progress.note(answer, member);
+          return progress.finish(answer, member);
+        }
+        progress.dropFailure();
+        return { answer, attempts: progress.nodes() + 1, host: member.host };
+      }
+      progress.note(answer, member);
+      if (answer.kind === 'refusal') last = answer;
+      const isRepeated = mayRepeat(entryCall, progress) && takeRetry(entryCall, progress);
+      logger.log('attemptEnded', {
+        requestId: call.requestId,
+        service: call.service,
+        host: member.host,
+        incarnation: member.incarnation,
+        status: answer.kind === 'answer' ? answer.status : undefined,
+        reason: answer.kind === 'refusal' ? answer.reason : undefined,
+        outcome: progress.outcome(),
+        attempt: progress.nodes(),
+        isRepeated,
+      });
+      if (!isRepeated) return progress.finish(last, member);
+    }
+  };
+
+  return { forward };
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/entry/writeRefusal.ts
@@ -0,0 +1,61 @@
+import type { ServerResponse } from 'node:http';
+
+import type { Refusal } from '@buckthornslip/calls';
+import { refusalCatalogue } from '@buckthornslip/common';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Status of a call that may have run and has no answer; the statuses that promise "not run" must not be used. */
+const FAILED_STATUS = 502;
+const TIMEOUT_STATUS = 504;
+
+const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/**
+ * @param refusal - A refusal.
+ * @returns Its status; one that promises that the call has not run only if that is proven.
+ * @internal
+ */
+export function statusOf({ outcome, reason }: Refusal): number {
+  const { status } = refusalCatalogue[reason];
+  if (reason === 'deadline-exceeded') return TIMEOUT_STATUS;
+  if (outcome !== 'not-run') return PROMISING_STATUSES.has(status) ? FAILED_STATUS : status;
+  // Nothing has run and nothing will: the caller may come back, also for a call that must not run twice.
+  return status === FAILED_STATUS ? 503 : status;
+}
+
+/**
+ * Answers a caller with a refusal.
+ *
+ * @param response - Where to answer.
+ * @param refusal - The refusal.
+ * @param retryAfterMilliseconds - When the caller should come back, if that can help.
+ * @param headers - Headers to add, names and values in turn.
+ * @returns The status that was sent.
+ * @internal
+ */
+export function writeRefusal(
+  response: ServerResponse,
+  refusal: Refusal,
+  retryAfterMilliseconds: number,
+  headers: readonly string[],
+): number {
+  const status = statusOf(refusal);
+  const { reason } = refusal;
+  const body = Buffer.from(JSON.stringify({ reason, outcome: refusal.outcome }));
+  const all = [
+    'Content-Type',
+    'application/problem+json',
+    'Content-Length',
+    String(body.length),
+    'Buckthornslip-Reason',
+    reason,
+    ...headers,
+  ];
+  if (PROMISING_STATUSES.has(status)) {
+    all.push('Retry-After', (retryAfterMilliseconds / MILLISECONDS_PER_SECOND).toFixed(3));
+  }
+  response.writeHead(status, all);
+  response.end(body);
+  return status;
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/http/ExchangeRequest.ts
@@ -0,0 +1,24 @@
+import type { IncomingMessage } from 'node:http';
+
+import type { CallScope } from '@buckthornslip/calls';
+
+import type { ConnectionAgent } from './ConnectionAgent';
+import type { RequestBody } from './RequestBody';
+
+/**
+ * One request to a peer or an upstream.
+ *
+ * @internal
+ */
+export interface ExchangeRequest {
+  readonly agent: ConnectionAgent;
+  readonly method: string;
+  /** Path and query. */
+  readonly target: string;
+  /** Names and values in turn, without framing headers. */
+  readonly headers: readonly string[];
+  readonly body: RequestBody;
+  readonly scope: CallScope;
+  /** @returns Whether the answer belongs to this request. */
+  readonly isOwnAnswer: (response: IncomingMessage) => boolean;
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/http/exchange.ts
@@ -0,0 +1,123 @@
+import type { ClientRequest, IncomingMessage } from 'node:http';
+import { request as httpRequest } from 'node:http';
+import type { Socket } from 'node:net';
+
+import type { ExchangeRequest } from './ExchangeRequest';
+import type { ExchangeFailure, ExchangeResult } from './ExchangeResult';
+
+/** Longest answer that is kept in memory until it is whole, in bytes. Longer ones are relayed as they arrive. */
+const BUFFERED_ANSWER_BYTES = 131_072;
+
+const BODILESS_METHODS = new Set(['GET', 'HEAD', 'DELETE', 'OPTIONS', 'TRACE']);
+
+function framedHeaders({ body, headers, method }: ExchangeRequest): string[] {
+  const framed = [...headers];
+  if (body.kind === 'stream') {
+    if (body.length === undefined) framed.push('Transfer-Encoding', 'chunked');
+    else framed.push('Content-Length', String(body.length));
+  } else if (body.bytes.length > 0 || !BODILESS_METHODS.has(method)) {
+    framed.push('Content-Length', String(body.bytes.length));
+  }
+  return framed;
+}
+
+function sendBody({ body }: ExchangeRequest, request: ClientRequest): void {
+  if (body.kind === 'whole') {
+    request.end(body.bytes.length > 0 ? body.bytes : undefined);
+    return;
+  }
+  if (body.head.length > 0) request.write(body.head);
+  body.stream.pipe(request);
+  body.stream.once('close', () => {
+    if (!body.stream.readableEnded) request.destroy();
+  });
+}
+
+/** The exchange has ended already; without a listener the error would end the process. */
+function ignoreLateError(): void {}
+
+/**
+ * Sends one request and waits for the whole answer, or for the first part of a long one. After a failure the connection
+ * is closed, so that a late answer cannot be taken for the answer to another request.
+ *
+ * @param exchanged - The request.
+ * @returns The answer, or how the exchange failed.
+ * @internal
+ */
+export function exchange(exchanged: ExchangeRequest): Promise<ExchangeResult> {
+  const { agent, method, scope, target } = exchanged;
+  return new Promise((resolve) => {
+    let isSettled = false;
+    let isSent = false;
+    let stopListening: (() => void) | undefined;
+    let connectTimer: NodeJS.Timeout | undefined;
+    const request = httpRequest({
+      agent: agent.agent,
+      host: agent.host,
+      port: agent.port,
+      method,
+      path: target,
+      headers: framedHeaders(exchanged),
+      setHost: false,
+    });
+
+    const settle = (result: ExchangeResult): void => {
+      if (isSettled) return;
+      isSettled = true;
+      clearTimeout(connectTimer);
+      stopListening?.();
+      resolve(result);
+    };
+    const fail = (failure: ExchangeFailure): void => {
+      settle({ kind: 'failed', failure, sent: isSent });
+      request.destroy();
+    };
+    const failLost = (): void => fail(isSent ? 'reset' : 'unconnected');
+
+    request.once('socket', (socket: Socket) => {
+      if (!socket.connecting) {
+        isSent = true;
+        return;
+      }
+      connectTimer = setTimeout(failLost, agent.connectMilliseconds);
+      socket.once('connect', () => {
+        clearTimeout(connectTimer);
+        isSent = true;
+      });
+    });
+    request.once('response', (response: IncomingMessage) => {
+      if (!exchanged.isOwnAnswer(response)) {
+        response.once('error', ignoreLateError);
+        fail('foreign');
+        return;
+      }
+      const chunks: Buffer[] = [];
+      let size = 0;
+      const onData = (chunk: Buffer): void => {
+        chunks.push(chunk);
+        size += chunk.length;
+        if (size <= BUFFERED_ANSWER_BYTES) return;
+        response.pause();
+        response.off('data', onData);
+        settle({ kind: 'stream', response, head: Buffer.concat(chunks) });
+      };
+      response.on('data', onData);
+      response.once('end', () => {
+        if (!response.complete) fail('truncated');
+        else {
+          const body = chunks.length === 1 ? (chunks[0] as Buffer) : Buffer.concat(chunks);
+          settle({ kind: 'whole', response, body });
+        }
+      });
+      response.once('error', () => fail('truncated'));
+      response.once('close', () => fail('truncated'));
+    });
+    request.on('error', failLost);
+    request.once('close', failLost);
+    sendBody(exchanged, request);
+    stopListening = scope.onCancel(() => {
+      settle({ kind: 'failed', failure: 'cancelled', sent: isSent });
+      request.destroy();
+    });
+  });
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/peers/createAgentPool.ts
@@ -0,0 +1,34 @@
+import type { ConnectionAgent } from '../http/ConnectionAgent';
+import { createConnectionAgent } from '../http/createConnectionAgent';
+
+/** Limits of the connections to one address. */
+interface AgentLimits {
+  readonly maximumConnections: number;
+  readonly idleMilliseconds: number;
+  readonly connectMilliseconds: number;
+}
+
+/** Connections by address. */
+export interface AgentPool {
+  readonly get: (address: string) => ConnectionAgent;
+  readonly close: () => void;
+}
+
+/**
+ * @param limits - Limits for each address.
+ * @returns A pool without connections.
+ * @internal
+ */
+export function createAgentPool(limits: () => AgentLimits): AgentPool {
+  const agents = new Map<string, ConnectionAgent>();
+  return {
+    get: (address) => {
+      const known = agents.get(address);
+      if (known) return known;
+      const created = createConnectionAgent({ address, ...limits() });
+      agents.set(address, created);
+      return created;
+    },
+    close: () => agents.forEach((agent) => agent.close()),
+  };
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/process/createSidecarMetrics.ts
@@ -0,0 +1,53 @@
+import type { Outcome, RefusalReason, RetryReason } from '@buckthornslip/common';
+import { createMetrics } from '@buckthornslip/telemetry';
+import { Gauge, Histogram } from 'prom-client';
+
+/** Upper bounds of the latency histogram, in seconds. */
+const LATENCY_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8];
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Metrics of a sidecar. */
+export interface SidecarMetrics {
+  readonly countRefusal: (reason: RefusalReason, outcome: Outcome) => void;
+  readonly countRetry: (reason: RetryReason) => void;
+  /** @param milliseconds - Time from arrival to the end of the answer. */
+  readonly observeCall: (route: string, status: number, milliseconds: number) => void;
+  /** Adds a figure that is read when the metrics are fetched. */
+  readonly addGauge: (name: string, help: string, read: () => number) => void;
+  /** @returns All metrics in the text format. */
+  readonly text: () => Promise<string>;
+}
+
+/**
+ * @returns The metrics of one process.
+ * @public
+ */
+export function createSidecarMetrics(): SidecarMetrics {
+  const metrics = createMetrics();
+  const { registry } = metrics;
+  const calls = new Histogram({
+    name: 'buckthornslip_call_seconds',
+    help: 'Time from arrival to the end of the answer, by route and class of status',
+    labelNames: ['route', 'status'],
+    buckets: LATENCY_SECONDS,
+    registers: [registry],
+  });
+  return {
+    countRefusal: metrics.countRefusal,
+    countRetry: metrics.countRetry,
+    observeCall: (route, status, milliseconds) => {
+      const statusClass = `${Math.floor(status / 100)}xx`;
+      calls.observe({ route, status: statusClass }, milliseconds / MILLISECONDS_PER_SECOND);
+    },
+    addGauge: (name, help, read) => {
+      const gauge: Gauge = new Gauge({
+        name,
+        help,
+        registers: [registry],
+        collect: () => gauge.set(read()),
+      });
+    },
+    text: () => registry.metrics(),
+  };
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/serving/ServedAnswer.ts
@@ -0,0 +1,26 @@
+import type { IncomingMessage } from 'node:http';
+
+import type { LoadReport } from '@buckthornslip/routing';
+import type { Refusal } from '@buckthornslip/calls';
+
+/**
+ * Answer of an upstream, whole or still arriving.
+ *
+ * @public
+ */
+export interface UpstreamAnswer {
+  readonly kind: 'answer';
+  readonly status: number;
+  /** End-to-end headers, names and values in turn. */
+  readonly headers: readonly string[];
+  /** The whole body, or its first part. */
+  readonly body: Buffer;
+  /** The rest of a body that is too long to be kept in memory. */
+  readonly rest: IncomingMessage | undefined;
+}
+
+/** Result of one attempt, with the load of the serving node. */
+export interface ServedAnswer {
+  readonly answer: UpstreamAnswer | Refusal;
+  readonly load: LoadReport | undefined;
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/serving/createServing.ts
@@ -0,0 +1,204 @@
+import type { AdmissionController, AdmissionTicket } from '@buckthornslip/admission';
+import type { Refusal } from '@buckthornslip/calls';
+import { forwardableHeaders, refuse } from '@buckthornslip/calls';
+import type { Clock, Priority, RefusalReason } from '@buckthornslip/common';
+import type { EventLogger } from '@buckthornslip/telemetry';
+
+import type { ConnectionAgent } from '../http/ConnectionAgent';
+import { exchange } from '../http/exchange';
+import type { ExchangeFailure, ExchangeResult } from '../http/ExchangeResult';
+import type { CallProtocol } from '../protocol/CallProtocol';
+import type { ServedAnswer, UpstreamAnswer } from './ServedAnswer';
+import type { ServingCall } from './ServingCall';
+import type { UpstreamRegistry, UpstreamView } from './UpstreamRegistry';
+
+/** What serving works with. */
+interface ServingOptions {
+  readonly clock: Clock;
+  readonly admission: AdmissionController;
+  readonly upstream: UpstreamRegistry;
+  /** @returns Connections to the upstream at an address. */
+  readonly connect: (address: string) => ConnectionAgent;
+  readonly protocol: CallProtocol;
+  readonly logger: EventLogger;
+}
+
+/**
+ * Runs attempts at the upstream beside this node.
+ *
+ * @public
+ */
+export interface Serving {
+  readonly serve: (call: ServingCall) => Promise<ServedAnswer>;
+}
+
+type TicketOutcome = Parameters<AdmissionTicket['release']>[0];
+
+/** Smallest status of a failure of the upstream. */
+const SERVER_ERROR = 500;
+
+const PRIORITIES: readonly Priority[] = ['critical', 'high', 'normal', 'low'];
+
+/** Hops that count for a nested call; its root has none. */
+const NESTED_DEPTH = 1;
+
+const failureReasons: Readonly<Record<ExchangeFailure, RefusalReason>> = {
+  unconnected: 'upstream-failed',
+  reset: 'upstream-failed',
+  truncated: 'upstream-failed',
+  foreign: 'upstream-failed',
+  cancelled: 'caller-gone',
+};
+
+function isWrongInstance(status: number): boolean {
+  return status === 421;
+}
+
+/**
+ * Creates the serving side of a node. It is the only way to the upstream, so that one place decides what may start.
+ *
+ * @param options - Admission, the upstream and its connections.
+ * @returns Serving for one upstream.
+ * @public
+ */
+export function createServing(options: ServingOptions): Serving {
+  const { admission, connect, logger, protocol, upstream } = options;
+
+  const refuseByState = (
+    call: ServingCall,
+    view: UpstreamView | undefined,
+  ): Refusal | undefined => {
+    if (view?.instance.service !== call.service) return refuse('no-upstream');
+    if (view.state === 'lost') return refuse('no-upstream');
+    return view.state === 'ready' ? undefined : refuse('upstream-draining');
+  };
+
+  const readWhole = (
+    view: UpstreamView,
+    result: Exclude<ExchangeResult, { kind: 'failed' }>,
+  ): UpstreamAnswer | Refusal => {
+    const { response } = result;
+    const status = response.statusCode as number;
+    const head = protocol.readAnswer(response.headers);
+    if (isWrongInstance(status)) {
+      upstream.noteLost();
+      return refuse('upstream-draining');
+    }
+    if (head.isNotRun) return refuse('upstream-shed');
+    if (status < 300 && !head.isSigned) {
+      logger.log('answerUnsigned', {
+        upstream: view.instance.id,
+        requestId: head.requestId,
+        status,
+      });
+      return refuse('upstream-failed', 'may-have-run');
+    }
+    return {
+      kind: 'answer',
+      status,
+      headers: forwardableHeaders(response.rawHeaders),
+      body: result.kind === 'whole' ? result.body : result.head,
+      rest: result.kind === 'whole' ? undefined : response,
+    };
+  };
+
+  const readResult = (
+    call: ServingCall,
+    view: UpstreamView,
+    result: ExchangeResult,
+  ): UpstreamAnswer | Refusal => {
+    if (result.kind !== 'failed') return readWhole(view, result);
+    const { failure, sent } = result;
+    if (failure === 'unconnected') upstream.noteLost();
+    const reason = failure === 'cancelled' ? call.scope.cancelReason() : failureReasons[failure];
+    return refuse(reason ?? 'caller-gone', sent ? 'may-have-run' : 'not-run');
+  };
+
+  const ticketOutcome = (
+    result: ExchangeResult,
+    answer: UpstreamAnswer | Refusal,
+  ): TicketOutcome => {
+    if (result.kind === 'failed') return result.failure === 'cancelled' ? 'cancelled' : 'failed';
+    if (answer.kind === 'refusal') return answer.reason === 'upstream-shed' ? 'shed' : 'failed';
+    return answer.status >= SERVER_ERROR ? 'failed' : 'completed';
+  };
+
+  const run = async (
+    call: ServingCall,
+    view: UpstreamView,
+    ticket: AdmissionTicket,
+  ): Promise<UpstreamAnswer | Refusal> => {
+    const remainingMilliseconds = Math.max(1, Math.floor(call.scope.remainingMilliseconds()));
+    const { account, callerService, requestId } = call;
+    const upstreamId = view.instance.id;
+    const added = protocol.writeUpstreamHeaders({
+      account,
+      callerService,
+      upstreamId,
+      remainingMilliseconds,
+    });
+    const result = await exchange({
+      agent: connect(view.instance.address),
+      method: call.method,
+      target: call.target,
+      headers: [...call.headers, ...added],
+      body: call.body,
+      scope: call.scope,
+      isOwnAnswer: (response) => protocol.readAnswer(response.headers).requestId === requestId,
+    });
+    const answer = readResult(call, view, result);
+    const outcome = ticketOutcome(result, answer);
+    if (answer.kind === 'answer' && answer.rest)
+      answer.rest.once('close', () => ticket.release(outcome));
+    else ticket.release(outcome);
+    if (answer.kind === 'refusal') {
+      logger.log('attemptFailed', {
+        requestId,
+        upstream: upstreamId,
+        sequence: view.instance.sequence,
+        reason: answer.reason,
+        outcome: answer.outcome,
+        failure: result.kind === 'failed' ? result.failure : undefined,
+      });
+    }
+    return answer;
+  };
+
+  const admit = async (call: ServingCall): Promise<UpstreamAnswer | Refusal> => {
+    const refusal = refuseByState(call, upstream.current());
+    if (refusal) return refusal;
+    const admitted = await admission.admit(
+      {
+        account: call.account,
+        priority: PRIORITIES[Math.min(call.rank, PRIORITIES.length - 1)] as Priority,
+        depth: call.isNested ? NESTED_DEPTH : 0,
+        remainingMilliseconds: call.scope.remainingMilliseconds(),
+        isolated: false,
+      },
+      call.scope.signal,
+    );
+    if (!admitted.ok) {
+      const { limit, queued, running } = admission.load();
+      const { requestId, rank } = call;
+      const { kind: reason } = admitted.error;
+      logger.log('admissionRefused', { requestId, rank, reason, running, queued, limit });
+      return refuse(reason);
+    }
+    // The state may have changed while the call waited.
+    const view = upstream.current();
+    const late = refuseByState(call, view);
+    const cancelled = call.scope.cancelReason();
+    if (late ?? cancelled) {
+      admitted.value.release('cancelled');
+      return late ?? refuse(cancelled as RefusalReason);
+    }
+    return run(call, view as UpstreamView, admitted.value);
+  };
+
+  return {
+    serve: async (call) => {
+      const answer = await admit(call);
+      return { answer, load: admission.load() };
+    },
+  };
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/serving/createUpstreamRegistry.ts
@@ -0,0 +1,105 @@
+import type { Clock } from '@buckthornslip/common';
+import type { EventLogger } from '@buckthornslip/telemetry';
+
+import type { UpstreamInstance } from './UpstreamInstance';
+import type { UpstreamRegistry, UpstreamView } from './UpstreamRegistry';
+
+/** What the registry works with. */
+interface UpstreamRegistryOptions {
+  readonly clock: Clock;
+  readonly logger: EventLogger;
+  /** Usual time between two announcements, in milliseconds. */
+  readonly announcementMilliseconds: number;
+  /** Called after each change. */
+  readonly onChange: (view: UpstreamView) => void;
+}
+
+/** Announcements may be seconds late, so that several in a row must be missing before an upstream counts as lost. */
+const MISSED_ANNOUNCEMENTS = 4;
+
+/** Departed upstreams that are remembered, so that a late announcement does not bring one back. */
+const REMEMBERED_DEPARTURES = 32;
+
+function isNewer(instance: UpstreamInstance, known: UpstreamInstance): boolean {
+  if (instance.startedMilliseconds !== known.startedMilliseconds) {
+    return instance.startedMilliseconds > known.startedMilliseconds;
+  }
+  return instance.id !== known.id || instance.sequence > known.sequence;
+}
+
+/**
+ * Creates the registry of the upstream beside this node. Announcements may arrive late and out of order; only the newest
+ * counts, by start time and sequence.
+ *
+ * @param options - Clock, logger and the listener.
+ * @returns A registry without an upstream.
+ * @public
+ */
+export function createUpstreamRegistry(options: UpstreamRegistryOptions): UpstreamRegistry {
+  const { announcementMilliseconds, clock, logger, onChange } = options;
+  const departures = new Map<string, number>();
+  let view: UpstreamView | undefined;
+  let stopTimer: (() => void) | undefined;
+
+  const change = (next: UpstreamView, cause: string): void => {
+    const isVisible = view?.state !== next.state || view.instance.id !== next.instance.id;
+    const slotsChanged = view?.instance.slots !== next.instance.slots;
+    const previous = view?.state;
+    view = next;
+    if (!isVisible && !slotsChanged) return;
+    logger.log('upstreamStateChanged', {
+      upstream: next.instance.id,
+      service: next.instance.service,
+      state: next.state,
+      previous,
+      cause,
+      sequence: next.instance.sequence,
+      startedMilliseconds: next.instance.startedMilliseconds,
+      slots: next.instance.slots,
+    });
+    onChange(next);
+  };
+
+  const lose = (cause: string): void => {
+    if (view?.state === 'ready') change({ ...view, state: 'lost' }, cause);
+  };
+
+  const watchForSilence = (): void => {
+    stopTimer?.();
+    stopTimer = clock.setTimer(announcementMilliseconds * MISSED_ANNOUNCEMENTS, () =>
+      lose('announcements-missing'),
+    );
+  };
+
+  const rememberDeparture = ({ id, startedMilliseconds }: UpstreamInstance): void => {
+    departures.set(id, startedMilliseconds);
+    const oldest = departures.keys().next().value;
+    if (departures.size > REMEMBERED_DEPARTURES && oldest !== undefined) departures.delete(oldest);
+  };
+
+  const hasDeparted = ({ id, startedMilliseconds }: UpstreamInstance): boolean =>
+    (departures.get(id) ?? -Infinity) >= startedMilliseconds;
+
+  return {
+    current: () => view,
+    announce: (instance) => {
+      if (hasDeparted(instance)) return false;
+      if (view && !isNewer(instance, view.instance)) return false;
+      const isSameStart =
+        view?.instance.id === instance.id &&
+        view.instance.startedMilliseconds === instance.startedMilliseconds;
+      // A leaving upstream does not become ready again within one start.
+      const state = isSameStart && view?.state === 'draining' ? 'draining' : instance.state;
+      change({ instance, state }, 'announcement');
+      watchForSilence();
+      return true;
+    },
+    leave: (id) => {
+      if (view?.instance.id !== id) return;
+      rememberDeparture(view.instance);
+      change({ ...view, state: 'left' }, 'departure');
+    },
+    noteLost: () => lose('connection-refused'),
+    close: () => stopTimer?.(),
+  };
+}
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -13,3 +13,5 @@
 export type { LogLevel } from './lib/logging/LogLevel';
 export { createMetrics } from './lib/metrics/createMetrics';
 export type { Metrics } from './lib/metrics/Metrics';
+export type { BoundedWriter } from './lib/logging/createBoundedWriter';
+export { createBoundedWriter } from './lib/logging/createBoundedWriter';
--- a/packages/telemetry/src/lib/events/eventCatalogue.ts
+++ b/packages/telemetry/src/lib/events/eventCatalogue.ts
@@ -5,6 +5,7 @@
 import { membershipEvents } from './membershipEvents';
 import { platformEvents } from './platformEvents';
 import { processEvents } from './processEvents';
+import { sidecarEvents } from './sidecarEvents';
 
 /**
  * All log events. `docs/events.md` is generated from it.
@@ -19,4 +20,5 @@
   ...limitEvents,
   ...platformEvents,
   ...processEvents,
+  ...sidecarEvents,
 };
--- /dev/null
+++ b/packages/telemetry/src/lib/logging/createBoundedWriter.ts
@@ -0,0 +1,86 @@
+import type { Clock } from '@buckthornslip/common';
+
+/**
+ * Writes log lines without ever blocking, and bounds their volume.
+ *
+ * @public
+ */
+export interface BoundedWriter {
+  /** Takes one line, without its line end. */
+  readonly write: (line: string) => void;
+  /** Tells how many lines were dropped, once the volume allows it again. */
+  readonly onDropped: (report: (count: number) => void) => void;
+  /** Hands over what is pending. */
+  readonly flush: () => void;
+}
+
+/** Time for which lines are gathered before they are written together, in milliseconds. */
+const GATHER_MILLISECONDS = 200;
+
+/** Most lines a second that are written in the long run; a line costs about 15 microseconds. */
+const LINES_PER_SECOND = 400;
+
+/** Lines that may be written at once after a quiet time. */
+const BURST_LINES = 2_000;
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/**
+ * Creates a bounded writer.
+ *
+ * @param clock - Source of time.
+ * @param output - Takes several lines at once.
+ * @returns The writer.
+ * @public
+ */
+export function createBoundedWriter(clock: Clock, output: (text: string) => void): BoundedWriter {
+  let pending: string[] = [];
+  let allowance = BURST_LINES;
+  let updatedMilliseconds = clock.monotonicMilliseconds();
+  let dropped = 0;
+  let isScheduled = false;
+  let reportDropped: ((count: number) => void) | undefined;
+
+  const refill = (): void => {
+    const now = clock.monotonicMilliseconds();
+    const earned = ((now - updatedMilliseconds) / MILLISECONDS_PER_SECOND) * LINES_PER_SECOND;
+    allowance = Math.min(BURST_LINES, allowance + earned);
+    updatedMilliseconds = now;
+  };
+
+  const flush = (): void => {
+    isScheduled = false;
+    if (pending.length === 0) return;
+    const text = `${pending.join('\n')}\n`;
+    pending = [];
+    output(text);
+  };
+
+  const take = (line: string): void => {
+    allowance -= 1;
+    pending.push(line);
+    if (isScheduled) return;
+    isScheduled = true;
+    clock.setTimer(GATHER_MILLISECONDS, flush);
+  };
+
+  return {
+    write: (line) => {
+      refill();
+      if (allowance < 1) {
+        dropped += 1;
+        return;
+      }
+      if (dropped > 0) {
+        const count = dropped;
+        dropped = 0;
+        reportDropped?.(count);
+      }
+      take(line);
+    },
+    onDropped: (report) => {
+      reportDropped = report;
+    },
+    flush,
+  };
+}
--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -1,5 +1,5 @@
 // Bundles each program into one minified file under dist/.
-import { build } from 'esbuild';
+import { bundle } from './bundle.mjs';
 
 const programs = {
   'buckthornslip-node': 'apps/node/src/main.ts',
@@ -8,19 +8,5 @@
 };
 
 await Promise.all(
-  Object.entries(programs).map(([name, entryPoint]) =>
-    build({
-      entryPoints: [entryPoint],
-      outfile: `dist/${name}.mjs`,
-      bundle: true,
-      minify: true,
-      platform: 'node',
-      target: 'node20',
-      format: 'esm',
-      logLevel: 'warning',
-      banner: {
-        js: "import { createRequire as createRequireOfBundle } from 'node:module'; const require = createRequireOfBundle(import.meta.url);",
-      },
-    }),
-  ),
+  Object.entries(programs).map(([name, entryPoint]) => bundle(entryPoint, `dist/${name}.mjs`)),
 );
