--- a/packages/sidecar/src/lib/http/createConnectionAgent.ts
+++ b/packages/sidecar/src/lib/http/createConnectionAgent.ts
@@ -48,14 +48,18 @@
   const destroy = function onUnexpected(this: Socket): void {
     this.destroy();
   };
+  const keepSocketAlive = agent.keepSocketAlive.bind(agent);
+  const reuseSocket = agent.reuseSocket.bind(agent);
   agent.keepSocketAlive = (stream) => {
     const socket = stream as Socket;
+    keepSocketAlive(socket);
     socket.setTimeout(idleLimitOf(socket, idleMilliseconds), destroy);
     socket.on('data', destroy);
     return true;
   };
-  agent.reuseSocket = (stream) => {
+  agent.reuseSocket = (stream, request) => {
     const socket = stream as Socket;
+    reuseSocket(socket, request);
     socket.off('data', destroy);
     socket.off('timeout', destroy);
     socket.setTimeout(0);
