--- a/bench/src/sidecar/profile.ts
+++ b/bench/src/sidecar/profile.ts
@@ -42,7 +42,10 @@
       public: false,
     },
   ],
-  services: [{ name: 'a', maxConnections: 256 }, { name: 'b', maxConnections: 256 }],
+  services: [
+    { name: 'a', maxConnections: 256 },
+    { name: 'b', maxConnections: 256 },
+  ],
   tenants: [{ name: 'account', apiKeys: ['key'], priority: 1, ratePerS: 10_000, burst: 10_000 }],
 };
 await store.store.compareAndSwap('op/config', 0, Buffer.from(JSON.stringify(configuration)));
@@ -50,7 +53,14 @@
 function startNode(service: string, index: number) {
   const address = `127.0.1.${index}`;
   const path = join(directory, `${service}.toml`);
-  const settings = { host: `host-${index}`, service, address, zone: 'z', region: 'r', storeAddress };
+  const settings = {
+    host: `host-${index}`,
+    service,
+    address,
+    zone: 'z',
+    region: 'r',
+    storeAddress,
+  };
   writeFileSync(path, formatSettings(settings));
   const flags = isProfiled ? ['--cpu-prof', `--cpu-prof-dir=${directory}/${service}`] : [];
   const child = spawn(process.execPath, [...flags, PROGRAM], {
--- a/packages/sidecar/src/index.ts
+++ b/packages/sidecar/src/index.ts
@@ -10,7 +10,7 @@
 export type { UpstreamHeaders } from './lib/protocol/UpstreamHeaders';
 export type { PolicyError } from './lib/policy/createPolicyFollower';
 export { createSidecar } from './lib/process/createSidecar';
-export type { Sidecar } from './lib/process/createSidecar';
+export type { Sidecar } from './lib/process/Sidecar';
 export type { SidecarOptions } from './lib/process/SidecarOptions';
 export type { SidecarMetrics } from './lib/process/createSidecarMetrics';
 export type { UpstreamInstance } from './lib/serving/UpstreamInstance';
--- /dev/null
+++ b/packages/sidecar/src/lib/channel/FrameConnection.ts
@@ -0,0 +1,17 @@
+import type { Frame } from './frameCodec';
+
+/**
+ * A connection that carries frames.
+ *
+ * @internal
+ */
+export interface FrameConnection {
+  /** Frames sent within one turn of the event loop leave together. */
+  readonly send: (frame: Frame) => void;
+  /** @returns Monotonic time at which bytes last arrived, in milliseconds. */
+  readonly lastReceivedMilliseconds: () => number;
+  /** @returns Bytes that the network has not taken yet. */
+  readonly pendingBytes: () => number;
+  readonly isOpen: () => boolean;
+  readonly destroy: () => void;
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/channel/PeerLinkOptions.ts
@@ -0,0 +1,12 @@
+import type { Clock, NodeIdentity } from '@buckthornslip/common';
+import type { EventLogger } from '@buckthornslip/telemetry';
+
+/** What a link to another node works with. */
+export interface PeerLinkOptions {
+  readonly clock: Clock;
+  readonly logger: EventLogger;
+  /** This node. */
+  readonly self: NodeIdentity;
+  /** "address:port" of the other node. */
+  readonly address: string;
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/channel/callFrames.ts
@@ -0,0 +1,132 @@
+import type { Readable } from 'node:stream';
+
+import { refuse } from '@buckthornslip/calls';
+import type { AccountId, Outcome, RefusalReason, ServiceId } from '@buckthornslip/common';
+import { refusalCatalogue } from '@buckthornslip/common';
+import type { channelMessages } from '@buckthornslip/wire';
+
+import type { ServedAnswer } from '../serving/ServedAnswer';
+import type { ServingCall } from '../serving/ServingCall';
+import { joinHeaders, splitHeaders } from './headerText';
+
+const NO_BYTES = Buffer.alloc(0);
+
+/** Value of a length or time that is not known. */
+const UNKNOWN = -1;
+
+const OUTCOMES: ReadonlySet<string> = new Set<Outcome>(['not-run', 'may-have-run', 'ran']);
+
+/**
+ * @param id - Number of the call.
+ * @param call - The call.
+ * @returns The message for the serving node.
+ * @internal
+ */
+export function toCallMessage(id: number, call: ServingCall): channelMessages.Call {
+  const { body } = call;
+  return {
+    id,
+    requestId: call.requestId,
+    service: call.service,
+    account: call.account ?? '',
+    callerService: call.callerService,
+    rank: call.rank,
+    nested: call.isNested,
+    repeatable: call.repeatable,
+    remainingMilliseconds: Math.max(0, Math.floor(call.scope.remainingMilliseconds())),
+    method: call.method,
+    target: call.target,
+    headers: joinHeaders(call.headers),
+    body: body.kind === 'whole' ? body.bytes : body.head,
+    bodyFollows: body.kind === 'stream',
+    bodyLength: body.kind === 'stream' ? (body.length ?? UNKNOWN) : UNKNOWN,
+  };
+}
+
+/**
+ * @param message - A call message.
+ * @returns What it says of the call, without its body and lifetime.
+ * @internal
+ */
+export function fromCallMessage(
+  message: channelMessages.Call,
+): Omit<ServingCall, 'body' | 'scope'> {
+  return {
+    requestId: message.requestId,
+    service: message.service as ServiceId,
+    account: message.account === '' ? undefined : (message.account as AccountId),
+    callerService: message.callerService as ServiceId,
+    rank: message.rank,
+    isNested: message.nested,
+    repeatable: message.repeatable,
+    method: message.method,
+    target: message.target,
+    headers: splitHeaders(message.headers),
+  };
+}
+
+/**
+ * @param id - Number of the call.
+ * @param served - Its result.
+ * @returns The message for the entry node.
+ * @internal
+ */
+export function toAnswerMessage(id: number, served: ServedAnswer): channelMessages.Answer {
+  const { answer, load } = served;
+  if (answer.kind === 'refusal') {
+    return {
+      id,
+      refusalReason: answer.reason,
+      refusalOutcome: answer.outcome,
+      retryAfterMilliseconds: answer.retryAfterMilliseconds ?? UNKNOWN,
+      status: 0,
+      headers: '',
+      body: NO_BYTES,
+      bodyFollows: false,
+      load,
+    };
+  }
+  return {
+    id,
+    refusalReason: '',
+    refusalOutcome: '',
+    retryAfterMilliseconds: UNKNOWN,
+    status: answer.status,
+    headers: joinHeaders(answer.headers),
+    body: answer.body,
+    bodyFollows: answer.rest !== undefined,
+    load,
+  };
+}
+
+/**
+ * @param message - An answer message.
+ * @param rest - Receives the rest of the body, if it follows.
+ * @returns The result of the call.
+ * @internal
+ */
+export function fromAnswerMessage(
+  message: channelMessages.Answer,
+  rest: Readable | undefined,
+): ServedAnswer {
+  const { load, refusalOutcome, refusalReason, retryAfterMilliseconds } = message;
+  if (refusalReason === '') {
+    return {
+      answer: {
+        kind: 'answer',
+        status: message.status,
+        headers: splitHeaders(message.headers),
+        body: message.body,
+        rest,
+      },
+      load,
+    };
+  }
+  const isKnown = refusalReason in refusalCatalogue && OUTCOMES.has(refusalOutcome);
+  // A later release may refuse for a reason that this one does not know.
+  const refusal = isKnown
+    ? refuse(refusalReason as RefusalReason, refusalOutcome as Outcome)
+    : refuse('upstream-failed', 'may-have-run');
+  if (retryAfterMilliseconds < 0) return { answer: refusal, load };
+  return { answer: { ...refusal, retryAfterMilliseconds }, load };
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/channel/createBodySender.ts
@@ -0,0 +1,48 @@
+import type { Readable } from 'node:stream';
+
+import type { BodyPartFields, BodySender } from './BodyChannel';
+
+/** Bytes that may be on their way before the receiver has taken any. */
+const FIRST_CREDIT_BYTES = 262_144;
+
+const NO_BYTES = Buffer.alloc(0);
+
+/**
+ * Begins to send the rest of a body.
+ *
+ * @param source - The rest.
+ * @param send - Sends one part.
+ * @returns The sender.
+ * @internal
+ */
+export function createBodySender(
+  source: Readable,
+  send: (part: BodyPartFields) => void,
+): BodySender {
+  let credit = FIRST_CREDIT_BYTES;
+  let isEnded = false;
+  const end = (broken: boolean): void => {
+    if (isEnded) return;
+    isEnded = true;
+    send({ bytes: NO_BYTES, last: !broken, broken });
+  };
+  source.on('data', (bytes: Buffer) => {
+    credit -= bytes.length;
+    send({ bytes, last: false, broken: false });
+    if (credit <= 0) source.pause();
+  });
+  source.once('end', () => end(false));
+  source.once('error', () => end(true));
+  source.once('close', () => end(!source.readableEnded));
+  source.resume();
+  return {
+    addCredit: (bytes) => {
+      credit += bytes;
+      if (credit > 0) source.resume();
+    },
+    stop: () => {
+      isEnded = true;
+      source.destroy();
+    },
+  };
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/channel/createFrameConnection.ts
@@ -0,0 +1,72 @@
+import type { Socket } from 'node:net';
+
+import type { Clock } from '@buckthornslip/common';
+
+import type { FrameConnection } from './FrameConnection';
+import type { Frame } from './frameCodec';
+import { createFrameReader, encodeFrame } from './frameCodec';
+
+/** What a connection tells its owner. */
+interface FrameListener {
+  readonly onFrame: (frame: Frame) => void;
+  /** Called once when the connection has ended. */
+  readonly onClose: () => void;
+}
+
+/**
+ * Wraps a socket. Bytes that are no frames end the connection.
+ *
+ * @param clock - Source of time.
+ * @param socket - The socket, which may still be connecting.
+ * @param listener - Told of frames and of the end.
+ * @returns The connection.
+ * @internal
+ */
+export function createFrameConnection(
+  clock: Clock,
+  socket: Socket,
+  listener: FrameListener,
+): FrameConnection {
+  const reader = createFrameReader();
+  let pending: Buffer[] = [];
+  let isOpen = true;
+  let lastReceivedMilliseconds = clock.monotonicMilliseconds();
+  socket.setNoDelay(true);
+
+  const flush = (): void => {
+    const frames = pending;
+    pending = [];
+    if (isOpen) socket.write(frames.length === 1 ? (frames[0] as Buffer) : Buffer.concat(frames));
+  };
+  const end = (): void => {
+    if (!isOpen) return;
+    isOpen = false;
+    listener.onClose();
+  };
+
+  socket.on('data', (chunk: Buffer) => {
+    lastReceivedMilliseconds = clock.monotonicMilliseconds();
+    const frames = reader.push(chunk);
+    if (frames) frames.forEach(listener.onFrame);
+    else socket.destroy();
+  });
+  // The close event follows and says all that matters.
+  socket.on('error', () => socket.destroy());
+  socket.on('end', () => socket.destroy());
+  socket.on('close', end);
+
+  return {
+    send: (frame) => {
+      if (!isOpen) return;
+      if (pending.length === 0) setImmediate(flush);
+      pending.push(encodeFrame(frame));
+    },
+    lastReceivedMilliseconds: () => lastReceivedMilliseconds,
+    pendingBytes: () => socket.writableLength,
+    isOpen: () => isOpen,
+    destroy: () => {
+      socket.destroy();
+      end();
+    },
+  };
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/channel/createLinkConnector.ts
@@ -0,0 +1,101 @@
+import type { Socket } from 'node:net';
+import { connect as connectSocket } from 'node:net';
+
+import { channelTimes } from './channelTimes';
+import { createFrameConnection } from './createFrameConnection';
+import type { FrameConnection } from './FrameConnection';
+import type { Frame } from './frameCodec';
+import type { PeerLinkOptions } from './PeerLinkOptions';
+
+/** A connection on which the other node has greeted. */
+export interface LinkConnection {
+  readonly frames: FrameConnection;
+  /** Incarnation of the other node. */
+  readonly incarnation: number;
+}
+
+/** Opens the connection of a link and opens it again when it is lost. */
+export interface LinkConnector {
+  /** @returns The open connection, if there is one. */
+  readonly current: () => LinkConnection | undefined;
+  /** @returns The connection, opened if need be; undefined if the other node does not greet in time. */
+  readonly connect: () => Promise<LinkConnection | undefined>;
+  readonly close: () => void;
+}
+
+/** What the connector tells the link. */
+interface ConnectorListener {
+  readonly onFrame: (frame: Frame) => void;
+  readonly onLost: () => void;
+}
+
+function openSocket(address: string): Socket {
+  const separator = address.lastIndexOf(':');
+  return connectSocket({
+    host: address.slice(0, separator),
+    port: Number(address.slice(separator + 1)),
+  });
+}
+
+/**
+ * Creates the connector of a link.
+ *
+ * @param options - The other node's address and this node's identity.
+ * @param listener - Told of frames and of lost connections.
+ * @returns A connector without a connection.
+ * @internal
+ */
+export function createLinkConnector(
+  options: PeerLinkOptions,
+  listener: ConnectorListener,
+): LinkConnector {
+  const { address, clock, logger, self } = options;
+  let open: LinkConnection | undefined;
+  let opening: Promise<LinkConnection | undefined> | undefined;
+  let isClosed = false;
+  let closeCurrent = (): void => undefined;
+
+  const openConnection = (): Promise<LinkConnection | undefined> =>
+    new Promise((resolve) => {
+      const socket = openSocket(address);
+      let stopTimer: (() => void) | undefined;
+      const onFrame = (frame: Frame): void => {
+        if (frame.$case !== 'hello') {
+          listener.onFrame(frame);
+          return;
+        }
+        stopTimer?.();
+        opening = undefined;
+        open = { frames, incarnation: frame.value.incarnation };
+        resolve(open);
+      };
+      const onClose = (): void => {
+        stopTimer?.();
+        opening = undefined;
+        resolve(undefined);
+        if (open?.frames !== frames) return;
+        open = undefined;
+        if (isClosed) return;
+        logger.log('linkLost', { address });
+        listener.onLost();
+      };
+      const frames = createFrameConnection(clock, socket, { onFrame, onClose });
+      closeCurrent = frames.destroy;
+      stopTimer = clock.setTimer(channelTimes.connect, frames.destroy);
+      frames.send({ $case: 'hello', value: { host: self.host, incarnation: self.incarnation } });
+    });
+
+  return {
+    current: () => open,
+    connect: () => {
+      if (open) return Promise.resolve(open);
+      if (isClosed) return Promise.resolve(undefined);
+      opening ??= openConnection();
+      return opening;
+    },
+    close: () => {
+      isClosed = true;
+      closeCurrent();
+    },
+  };
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/channel/createPeerListener.ts
@@ -0,0 +1,97 @@
+import type { Socket } from 'node:net';
+import { createServer } from 'node:net';
+
+import type { Clock, NodeIdentity } from '@buckthornslip/common';
+import type { channelMessages } from '@buckthornslip/wire';
+
+import { createFrameConnection } from './createFrameConnection';
+import type { PeerSession } from './createPeerSession';
+import { createPeerSession } from './createPeerSession';
+import type { Frame } from './frameCodec';
+import type { PeerHandlers } from './PeerHandlers';
+
+/** Listener for the connections of other nodes. */
+export interface PeerListener {
+  readonly listen: (address: string) => Promise<void>;
+  /** Closes the listener and all connections. */
+  readonly close: () => void;
+}
+
+/**
+ * Creates the listener for other nodes.
+ *
+ * @param clock - Source of time.
+ * @param self - This node.
+ * @param peerHandlers - What this node does for others.
+ * @returns The listener, not yet listening.
+ * @internal
+ */
+export function createPeerListener(
+  clock: Clock,
+  self: NodeIdentity,
+  peerHandlers: PeerHandlers,
+): PeerListener {
+  const sessions = new Map<string, PeerSession>();
+  const sockets = new Set<Socket>();
+
+  const sessionOf = ({ host, incarnation }: channelMessages.Hello): PeerSession => {
+    const key = `${host}/${incarnation}`;
+    const known = sessions.get(key);
+    if (known) return known;
+    const created = createPeerSession(clock, peerHandlers, () => sessions.delete(key));
+    sessions.set(key, created);
+    return created;
+  };
+
+  const accept = (socket: Socket): void => {
+    let session: PeerSession | undefined;
+    const handlers: Readonly<Partial<Record<Frame['$case'], (value: never) => void>>> = {
+      hello: (hello: channelMessages.Hello) => {
+        session = sessionOf(hello);
+        session.attach(connection);
+        connection.send({ $case: 'hello', value: self });
+      },
+      call: (message: channelMessages.Call) => session?.onCall(message),
+      resume: (message: channelMessages.Resume) => session?.onResume(message),
+      cancel: (message: channelMessages.Cancel) => session?.onCancel(message),
+      bodyPart: (message: channelMessages.BodyPart) => session?.onBodyPart(message),
+      bodyCredit: (message: channelMessages.BodyCredit) => session?.onBodyCredit(message),
+      ping: (value: channelMessages.Ping) => connection.send({ $case: 'pong', value }),
+      ledgerRequest: ({ account, sequence, wanted }: channelMessages.LedgerRequest) => {
+        const grant = peerHandlers.grant({ account: account as never, wanted });
+        connection.send({ $case: 'ledgerGrant', value: { sequence, ...grant } });
+      },
+      exchange: ({ sequence, ...fields }: channelMessages.Exchange) => {
+        const answer = peerHandlers.exchange(fields);
+        connection.send({ $case: 'exchangeAnswer', value: { sequence, ...answer } });
+      },
+    };
+    sockets.add(socket);
+    const connection = createFrameConnection(clock, socket, {
+      onFrame: (frame) => handlers[frame.$case]?.(frame.value as never),
+      onClose: () => {
+        sockets.delete(socket);
+        session?.detach(connection);
+      },
+    });
+  };
+
+  const server = createServer({ noDelay: true }, accept);
+  return {
+    listen: (address) =>
+      new Promise((resolve, reject) => {
+        const separator = address.lastIndexOf(':');
+        const host = address.slice(0, separator);
+        const port = Number(address.slice(separator + 1));
+        server.once('error', reject);
+        server.listen({ host, port, backlog: 1_024 }, () => {
+          server.off('error', reject);
+          resolve();
+        });
+      }),
+    close: () => {
+      server.close();
+      sockets.forEach((socket) => socket.destroy());
+    },
+  };
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/channel/createPeerSession.ts
@@ -0,0 +1,152 @@
+import { createCallScope, refuse } from '@buckthornslip/calls';
+import type { CallScope } from '@buckthornslip/calls';
+import type { Clock, Outcome } from '@buckthornslip/common';
+import type { channelMessages } from '@buckthornslip/wire';
+
+import type { RequestBody } from '../http/RequestBody';
+import type { ServedAnswer } from '../serving/ServedAnswer';
+import type { BodyReceiver, BodySender } from './BodyChannel';
+import { fromCallMessage, toAnswerMessage } from './callFrames';
+import { channelTimes } from './channelTimes';
+import { createBodyReceiver } from './createBodyReceiver';
+import { createBodySender } from './createBodySender';
+import type { FrameConnection } from './FrameConnection';
+import type { PeerHandlers } from './PeerHandlers';
+
+/** One call of the other node. */
+interface Attempt {
+  readonly scope: CallScope;
+  readonly receiver: BodyReceiver | undefined;
+  sender: BodySender | undefined;
+  served: ServedAnswer | undefined;
+}
+
+/**
+ * All calls of one process of another node. The session outlives its connection, so that the other node can ask for
+ * answers over a new one.
+ *
+ * @internal
+ */
+export interface PeerSession {
+  /** Uses another connection from now on; the earlier one is closed and nothing more is read from it. */
+  readonly attach: (connection: FrameConnection) => void;
+  readonly detach: (connection: FrameConnection) => void;
+  readonly onCall: (message: channelMessages.Call) => void;
+  readonly onResume: (message: channelMessages.Resume) => void;
+  readonly onCancel: (message: channelMessages.Cancel) => void;
+  readonly onBodyPart: (message: channelMessages.BodyPart) => void;
+  readonly onBodyCredit: (message: channelMessages.BodyCredit) => void;
+}
+
+function refused(outcome: Outcome): ServedAnswer {
+  return { answer: refuse('peer-unreachable', outcome), load: undefined };
+}
+
+/**
+ * Creates the session of another node's process.
+ *
+ * @param clock - Source of time.
+ * @param handlers - What this node does for others.
+ * @param onAbandoned - Called when no connection has come back in time.
+ * @returns The session, without a connection.
+ * @internal
+ */
+export function createPeerSession(
+  clock: Clock,
+  handlers: PeerHandlers,
+  onAbandoned: () => void,
+): PeerSession {
+  const attempts = new Map<number, Attempt>();
+  let connection: FrameConnection | undefined;
+  let highestId = 0;
+  let stopOrphanTimer: (() => void) | undefined;
+
+  const send = (id: number, served: ServedAnswer): void => {
+    connection?.send({ $case: 'answer', value: toAnswerMessage(id, served) });
+  };
+
+  const sendRest = (id: number, attempt: Attempt, served: ServedAnswer): void => {
+    const { answer } = served;
+    if (answer.kind !== 'answer' || !answer.rest) return;
+    Object.assign(attempt, {
+      sender: createBodySender(answer.rest, (part) =>
+        connection?.send({ $case: 'bodyPart', value: { id, ...part } }),
+      ),
+    });
+  };
+
+  const finish = (id: number, attempt: Attempt, served: ServedAnswer): void => {
+    attempt.scope.end();
+    Object.assign(attempt, { served });
+    send(id, served);
+    sendRest(id, attempt, served);
+    clock.setTimer(channelTimes.keep, () => attempts.delete(id));
+  };
+
+  const bodyOf = (
+    message: channelMessages.Call,
+    receiver: BodyReceiver | undefined,
+  ): RequestBody => {
+    const { body: bytes, bodyLength } = message;
+    if (!receiver) return { kind: 'whole', bytes };
+    const length = bodyLength < 0 ? undefined : bodyLength;
+    return { kind: 'stream', stream: receiver.stream, length, head: bytes };
+  };
+
+  const abandon = (): void => {
+    attempts.forEach(({ receiver, scope }) => {
+      receiver?.fail();
+      scope.cancel('caller-gone');
+    });
+    onAbandoned();
+  };
+
+  return {
+    attach: (next) => {
+      const earlier = connection;
+      connection = next;
+      stopOrphanTimer?.();
+      earlier?.destroy();
+    },
+    detach: (lost) => {
+      if (connection !== lost) return;
+      connection = undefined;
+      attempts.forEach(({ sender }) => sender?.stop());
+      stopOrphanTimer = clock.setTimer(channelTimes.orphan, abandon);
+    },
+    onCall: (message) => {
+      const { id } = message;
+      // A call whose answer was asked for before it arrived must never run.
+      if (id <= highestId) return;
+      highestId = id;
+      const receiver = message.bodyFollows
+        ? createBodyReceiver((bytes) =>
+            connection?.send({ $case: 'bodyCredit', value: { id, bytes } }),
+          )
+        : undefined;
+      const scope = createCallScope(clock, message.remainingMilliseconds);
+      const attempt: Attempt = { scope, receiver, sender: undefined, served: undefined };
+      attempts.set(id, attempt);
+      const body = bodyOf(message, receiver);
+      void handlers
+        .serve({ ...fromCallMessage(message), body, scope })
+        .then((served) => finish(id, attempt, served));
+    },
+    onResume: ({ id }) => {
+      const attempt = attempts.get(id);
+      if (!attempt) {
+        // The calls of one process arrive in order, so that a higher number has never been here.
+        send(id, refused(id > highestId ? 'not-run' : 'may-have-run'));
+        highestId = Math.max(highestId, id);
+      } else if (attempt.sender) send(id, refused('may-have-run'));
+      else if (attempt.served) send(id, attempt.served);
+    },
+    onCancel: ({ id }) => {
+      const attempt = attempts.get(id);
+      attempt?.scope.cancel('caller-gone');
+      attempt?.sender?.stop();
+    },
+    onBodyPart: (part) => attempts.get(part.id)?.receiver?.push(part),
+    onBodyCredit: ({ bytes, id }) => attempts.get(id)?.sender?.addCredit(bytes),
+  };
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/channel/frameCodec.ts
@@ -0,0 +1,65 @@
+import { channelMessages } from '@buckthornslip/wire';
+
+/** Each frame follows its length, an unsigned integer of four bytes. */
+const LENGTH_BYTES = 4;
+
+/** Longest frame that is accepted, in bytes. Longer bodies travel in parts. */
+const LONGEST_FRAME_BYTES = 4_194_304;
+
+/** One message between two nodes. */
+export type Frame = NonNullable<channelMessages.Frame['kind']>;
+
+/**
+ * @param frame - The message.
+ * @returns Its length and its bytes.
+ * @internal
+ */
+export function encodeFrame(frame: Frame): Buffer {
+  const writer = channelMessages.Frame.encode({ kind: frame });
+  const bytes = writer.finish();
+  const framed = Buffer.allocUnsafe(LENGTH_BYTES + bytes.length);
+  framed.writeUInt32BE(bytes.length, 0);
+  framed.set(bytes, LENGTH_BYTES);
+  return framed;
+}
+
+/**
+ * Cuts a stream of bytes into frames.
+ *
+ * @internal
+ */
+export interface FrameReader {
+  /**
+   * @returns The frames that are complete now, or undefined if the bytes are no frames.
+   */
+  readonly push: (chunk: Buffer) => readonly Frame[] | undefined;
+}
+
+/**
+ * @returns A reader at the begin of a frame.
+ * @internal
+ */
+export function createFrameReader(): FrameReader {
+  let pending: Buffer = Buffer.alloc(0);
+  return {
+    push: (chunk) => {
+      pending = pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
+      const frames: Frame[] = [];
+      while (pending.length >= LENGTH_BYTES) {
+        const length = pending.readUInt32BE(0);
+        if (length > LONGEST_FRAME_BYTES) return undefined;
+        const end = LENGTH_BYTES + length;
+        if (pending.length < end) break;
+        try {
+          const { kind } = channelMessages.Frame.decode(pending.subarray(LENGTH_BYTES, end));
+          // A kind of a later release is left out.
+          if (kind) frames.push(kind);
+        } catch {
+          return undefined;
+        }
+        pending = pending.subarray(end);
+      }
+      return frames;
+    },
+  };
+}
--- a/packages/sidecar/src/lib/directory/DirectoryMessage.ts
+++ b/packages/sidecar/src/lib/directory/DirectoryMessage.ts
@@ -12,6 +12,6 @@
   readonly digest: string;
   /** Revision of the policy in force at the sender; 0 if it has none. */
   readonly policyRevision: number;
-  /** The sender's table, if the digests differ. */
-  readonly members?: readonly Member[];
+  /** The sender's table, if the digests differ; otherwise empty. */
+  readonly members: readonly Member[];
 }
--- a/packages/sidecar/src/lib/directory/MemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/MemberDirectory.ts
@@ -22,6 +22,8 @@
   /** @returns All other nodes that are believed to run. */
   readonly livePeers: () => readonly Member[];
   readonly find: (host: HostId) => Member | undefined;
+  /** @returns What this node tells others. */
+  readonly describe: () => DirectoryMessage;
   /** Takes in a message of another node. */
   readonly receive: (message: DirectoryMessage) => DirectoryMessage;
   /** Withdraws the own record from the store. */
--- a/packages/sidecar/src/lib/directory/createMemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/createMemberDirectory.ts
@@ -24,7 +24,7 @@
   /** @returns Revision of the policy in force here; 0 if there is none. */
   readonly policyRevision: () => number;
   /** Called when another node has a newer policy. */
-  readonly onNewerPolicy: (peerAddress: string, revision: number) => void;
+  readonly onNewerPolicy: (peerAddress: string, message: DirectoryMessage) => void;
 }
 
 const RECORD_PREFIX = 'buckthornslip/nodes/';
@@ -68,7 +68,7 @@
     from: self,
     digest: table.digest(),
     policyRevision: policyRevision(),
-    ...(withMembers ? { members: table.all().filter(({ alive }) => alive) } : {}),
+    members: withMembers ? table.all().filter(({ alive }) => alive) : [],
   });
 
   const noteSeen = (member: Member): void => {
@@ -103,9 +103,9 @@
   const takeIn = (received: DirectoryMessage): void => {
     learn(received.from, 'itself');
     noteSeen(received.from);
-    received.members?.forEach((member) => learn(member, received.from.host));
+    received.members.forEach((member) => learn(member, received.from.host));
     if (received.policyRevision > policyRevision()) {
-      onNewerPolicy(received.from.peerAddress, received.policyRevision);
+      onNewerPolicy(received.from.peerAddress, message(false));
     }
   };
 
@@ -219,6 +219,7 @@
     },
     livePeers,
     find: table.get,
+    describe: () => message(false),
     receive: (received) => {
       takeIn(received);
       return message(received.digest !== table.digest());
--- a/packages/sidecar/src/lib/entry/EntryOptions.ts
+++ b/packages/sidecar/src/lib/entry/EntryOptions.ts
@@ -3,7 +3,7 @@
 import type { Router } from '@buckthornslip/routing';
 import type { EventLogger } from '@buckthornslip/telemetry';
 
-import type { ConnectionAgent } from '../http/ConnectionAgent';
+import type { PeerLinks } from '../peers/createPeerLinks';
 import type { PolicyFollower } from '../policy/PolicyFollower';
 import type { RouteTable } from '../policy/createRouteTable';
 import type { CallProtocol } from '../protocol/CallProtocol';
@@ -32,8 +32,7 @@
   readonly host: HostId;
   /** Service of the upstream beside this node, from which all requests at this entry come. */
   readonly callerService: ServiceId;
-  /** @returns Connections to the node at an address. */
-  readonly connect: (address: string) => ConnectionAgent;
+  readonly links: PeerLinks;
   /** @returns Whether the node has been asked to stop, so that callers should not keep their connections. */
   readonly isStopping: () => boolean;
 }
--- a/packages/sidecar/src/lib/entry/createForwarder.ts
+++ b/packages/sidecar/src/lib/entry/createForwarder.ts
@@ -3,7 +3,6 @@
 import type { Priority, RefusalReason } from '@buckthornslip/common';
 import type { Member } from '@buckthornslip/membership';
 
-import { sendToPeer } from '../peers/sendToPeer';
 import type { ServedAnswer, UpstreamAnswer } from '../serving/ServedAnswer';
 import type { CallProgress } from './createCallProgress';
 import { createCallProgress } from './createCallProgress';
@@ -56,13 +55,13 @@
  * @internal
  */
 export function createForwarder(options: EntryOptions): Forwarder {
-  const { clock, connect, host, logger, metrics, retries, router, serving } = options;
+  const { clock, host, links, logger, metrics, retries, router, serving } = options;
 
   const send = async (member: Member, { call }: EntryCall): Promise<ServedAnswer> => {
     const sentMilliseconds = clock.monotonicMilliseconds();
     const served = await (member.host === host
       ? serving.serve(call)
-      : sendToPeer(connect(member.peerAddress), call));
+      : links.get(member.peerAddress).call(call));
     router.report({
       host: member.host,
       service: call.service,
--- a/packages/sidecar/src/lib/peers/createAgentPool.ts
+++ b/packages/sidecar/src/lib/http/createAgentPool.ts
@@ -1,5 +1,5 @@
-import type { ConnectionAgent } from '../http/ConnectionAgent';
-import { createConnectionAgent } from '../http/createConnectionAgent';
+import type { ConnectionAgent } from './ConnectionAgent';
+import { createConnectionAgent } from './createConnectionAgent';
 
 /** Limits of the connections to one address. */
 interface AgentLimits {
--- a/packages/sidecar/src/lib/http/writeAnswer.ts
+++ b/packages/sidecar/src/lib/http/writeAnswer.ts
@@ -35,7 +35,7 @@
   response.write(body);
   return new Promise((resolve) => {
     rest.once('close', () => {
-      if (!rest.complete) response.destroy();
+      if (!rest.readableEnded) response.destroy();
       resolve();
     });
     rest.once('error', () => response.destroy());
--- /dev/null
+++ b/packages/sidecar/src/lib/peers/createPeerLinks.ts
@@ -0,0 +1,28 @@
+import type { PeerLink } from '../channel/PeerLink';
+import type { PeerLinkOptions } from '../channel/PeerLinkOptions';
+import { createPeerLink } from '../channel/createPeerLink';
+
+/** Links to other nodes, by address. */
+export interface PeerLinks {
+  readonly get: (address: string) => PeerLink;
+  readonly close: () => void;
+}
+
+/**
+ * @param options - What all links have in common.
+ * @returns No links; each is made when it is first used.
+ * @internal
+ */
+export function createPeerLinks(options: Omit<PeerLinkOptions, 'address'>): PeerLinks {
+  const links = new Map<string, PeerLink>();
+  return {
+    get: (address) => {
+      const known = links.get(address);
+      if (known) return known;
+      const created = createPeerLink({ ...options, address });
+      links.set(address, created);
+      return created;
+    },
+    close: () => links.forEach((link) => link.close()),
+  };
+}
--- a/packages/sidecar/src/lib/process/SidecarOptions.ts
+++ b/packages/sidecar/src/lib/process/SidecarOptions.ts
@@ -33,8 +33,6 @@
     readonly callers: string;
     /** "address:port" for calls and messages of other nodes. */
     readonly peers: string;
-    /** "address:port" for datagrams of other nodes. */
-    readonly control: string;
   };
   /** Time between two announcements of the upstream, in milliseconds. */
   readonly announcementMilliseconds: number;
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -1,107 +1,64 @@
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { createServer } from 'node:http';
-
 import { createAdmissionController } from '@buckthornslip/admission';
-import type { AccountId, RegionId } from '@buckthornslip/common';
+import type { AccountId } from '@buckthornslip/common';
 import { createAccountGate, createAccountLedger } from '@buckthornslip/limits';
 import type { Member } from '@buckthornslip/membership';
 import { createRouter } from '@buckthornslip/routing';
 
-import type { DirectoryMessage } from '../directory/DirectoryMessage';
+import { createPeerListener } from '../channel/createPeerListener';
+import type { ExchangeFields } from '../channel/PeerLink';
 import { createMemberDirectory } from '../directory/createMemberDirectory';
-import { parseDirectoryMessage } from '../directory/parseDirectoryMessage';
+import type { DirectoryMessage } from '../directory/DirectoryMessage';
+import type { DirectoryPeers } from '../directory/DirectoryPeers';
 import { createEntry } from '../entry/createEntry';
 import { createRetryAllowance } from '../entry/createRetryAllowance';
-import { createAgentPool } from '../peers/createAgentPool';
-import { handlePeerCall } from '../peers/handlePeerCall';
-import { peerHeaderNames } from '../peers/peerHeaderNames';
-import { peerPaths } from '../peers/peerPaths';
-import { postToPeer } from '../peers/postToPeer';
+import { createAgentPool } from '../http/createAgentPool';
+import { createPeerLinks } from '../peers/createPeerLinks';
+import { fromExchangeFields, toExchangeFields } from '../peers/exchangeCodec';
+import { createPolicyFollower } from '../policy/createPolicyFollower';
 import type { RouteTable } from '../policy/createRouteTable';
 import { createRouteTable } from '../policy/createRouteTable';
-import { createPolicyFollower } from '../policy/createPolicyFollower';
 import { createLedgerLocator } from '../quota/createLedgerLocator';
-import { createLedgerTransport } from '../quota/createLedgerTransport';
+import { createLedgerPeers } from '../quota/createLedgerPeers';
 import { createServing } from '../serving/createServing';
 import { createUpstreamRegistry } from '../serving/createUpstreamRegistry';
-import type { UpstreamRegistry, UpstreamView } from '../serving/UpstreamRegistry';
-import type { SidecarMetrics } from './createSidecarMetrics';
+import type { UpstreamView } from '../serving/UpstreamRegistry';
+import { createCallerListener } from './createCallerListener';
 import { createSidecarMetrics } from './createSidecarMetrics';
 import { drainServer } from './drainServer';
+import { linkBudget } from './linkBudget';
+import type { Sidecar } from './Sidecar';
 import type { SidecarOptions } from './SidecarOptions';
 
-/**
- * A running sidecar.
- *
- * @public
- */
-export interface Sidecar {
-  readonly start: () => Promise<void>;
-  /** Stops gracefully: no request in progress is cut off. */
-  readonly stop: () => Promise<void>;
-  /** @returns Undefined if callers may be sent here, otherwise why not. */
-  readonly notReadyReason: () => string | undefined;
-  readonly upstream: UpstreamRegistry;
-  readonly metrics: SidecarMetrics;
-}
-
-/** Limits of connections to one other node. */
-const PEER_CONNECTIONS = {
-  maximumConnections: 512,
-  // Well below the time for which the listener of the other node keeps an idle connection.
-  idleMilliseconds: 30_000,
-  // A round trip between regions takes 60 ms; one lost packet is sent again after a second.
-  connectMilliseconds: 400,
-} as const;
-
 /** Limits of connections to the own upstream, which is on the same host. */
 const UPSTREAM_CONNECTIONS = { idleMilliseconds: 8_000, connectMilliseconds: 400 } as const;
 
 /** Connections to an upstream before the policy names a number. */
 const DEFAULT_UPSTREAM_CONNECTIONS = 256;
 
-/** Idle time after which the listener for peers closes a connection, in milliseconds. */
-const PEER_IDLE_MILLISECONDS = 120_000;
-
-/** Idle time of callers before the policy names one, in milliseconds. */
-const DEFAULT_CALLER_IDLE_MILLISECONDS = 15_000;
-
-/** Callers may use a connection until just before the idle time; it is closed later than that, in milliseconds. */
-const CALLER_IDLE_MARGIN_MILLISECONDS = 2_000;
-
 /** Longest wait of a call in the queue of its upstream, in milliseconds. */
 const QUEUE_TARGET_MILLISECONDS = 400;
 
-/** Part of the link to another region that one node may use for calls, in bytes a second. */
-const LINK_BYTES_PER_SECOND = 400_000;
-const LINK_BURST_SECONDS = 10;
-const LARGE_BODY_BYTES = 262_144;
-
-const ledgerCandidate = ({ alive, state }: Member): boolean => alive && state !== 'left';
+const mayKeepLedgers = ({ alive, state }: Member): boolean => alive && state !== 'left';
 
 /** Order in which all nodes list the candidates, so that equal views are equal texts. */
 const byHost = (left: Member, right: Member): number => (left.host < right.host ? -1 : 1);
 
-function splitAddress(address: string): { readonly host: string; readonly port: number } {
-  const separator = address.lastIndexOf(':');
-  return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
-}
-
-function listen(server: Server, address: string): Promise<void> {
-  const { host, port } = splitAddress(address);
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen({ host, port, backlog: 1_024 }, () => {
-      server.off('error', reject);
-      resolve();
-    });
-  });
-}
-
-async function readText(request: IncomingMessage): Promise<string> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of request) chunks.push(chunk as Buffer);
-  return Buffer.concat(chunks).toString('utf8');
+function initialMember(options: SidecarOptions): Member {
+  const { host, incarnation, listeners, region, zone } = options;
+  return {
+    host,
+    incarnation,
+    version: 1,
+    service: undefined,
+    region,
+    zone,
+    peerAddress: listeners.peers,
+    controlAddress: listeners.peers,
+    slots: 0,
+    connections: 0,
+    state: 'starting',
+    alive: true,
+  };
 }
 
 /**
@@ -112,11 +69,11 @@
  * @public
  */
 export function createSidecar(options: SidecarOptions): Sidecar {
-  const { clock, host, listeners, logger, protocol, random, region, service, store, zone } =
-    options;
+  const { clock, host, incarnation, listeners, logger, protocol, random } = options;
+  const { region, service, store, zone } = options;
   const metrics = createSidecarMetrics();
   const admission = createAdmissionController({ clock });
-  const peerAgents = createAgentPool(() => PEER_CONNECTIONS);
+  const links = createPeerLinks({ clock, logger, self: { host, incarnation } });
   let isStopping = false;
   let routes: RouteTable | undefined;
   let upstreamConnections = DEFAULT_UPSTREAM_CONNECTIONS;
@@ -125,12 +82,9 @@
     maximumConnections: upstreamConnections,
   }));
 
-  const serverOptions = { noDelay: true, requestTimeout: 0 } as const;
-  const callerServer = createServer({
-    ...serverOptions,
-    keepAliveTimeout: DEFAULT_CALLER_IDLE_MILLISECONDS,
-  });
-  const peerServer = createServer({ ...serverOptions, keepAliveTimeout: PEER_IDLE_MILLISECONDS });
+  const callers = createCallerListener(logger, (request, response) =>
+    entry.handle(request, response),
+  );
 
   const policy = createPolicyFollower({
     clock,
@@ -141,54 +95,36 @@
     onChange: (next) => {
       routes = createRouteTable(next, random);
       upstreamConnections = next.services.get(service)?.connections ?? upstreamConnections;
-      callerServer.keepAliveTimeout =
-        next.requestLimits.idleMilliseconds + CALLER_IDLE_MARGIN_MILLISECONDS;
+      callers.apply(next.requestLimits);
     },
   });
   const policyRevision = (): number => policy.current()?.revision ?? 0;
 
-  const exchangeDirectory = async (
-    address: string,
-    message: DirectoryMessage,
-  ): Promise<DirectoryMessage | undefined> => {
-    const body = JSON.stringify(message);
-    const answer = await postToPeer(clock, peerAgents.get(address), peerPaths.directory, body);
-    return answer && parseDirectoryMessage(answer.toString('utf8'));
+  const exchangeTables: DirectoryPeers['exchange'] = async (address, message) => {
+    const fields = toExchangeFields(message, undefined, false);
+    const answer = await links.get(address).exchange(fields);
+    return answer && fromExchangeFields(answer);
   };
-
-  const fetchPolicy = async (address: string, revision: number): Promise<void> => {
-    const bytes = await postToPeer(clock, peerAgents.get(address), peerPaths.policy, '{}');
-    if (bytes) policy.offer(bytes, `${address} revision ${revision}`);
+  const fetchPolicy = async (address: string, message: DirectoryMessage): Promise<void> => {
+    const fields = toExchangeFields(message, undefined, true);
+    const answer = await links.get(address).exchange(fields);
+    if (answer && answer.policy.length > 0) policy.offer(answer.policy, address);
   };
-
   const directory = createMemberDirectory({
-    self: {
-      host,
-      incarnation: options.incarnation,
-      version: 1,
-      service: undefined,
-      region,
-      zone,
-      peerAddress: listeners.peers,
-      controlAddress: listeners.control,
-      slots: 0,
-      connections: 0,
-      state: 'starting',
-      alive: true,
-    },
+    self: initialMember(options),
     clock,
     random,
     store,
     logger,
     policyRevision,
-    peers: { exchange: exchangeDirectory },
-    onNewerPolicy: (address, revision) => {
-      void fetchPolicy(address, revision);
+    peers: { exchange: exchangeTables },
+    onNewerPolicy: (address, message) => {
+      void fetchPolicy(address, message);
     },
   });
 
   const onUpstreamChange = ({ instance, state }: UpstreamView): void => {
-    const { coldStartMilliseconds, service: announced, slots } = instance;
+    const { coldStartMilliseconds, slots } = instance;
     const memberState = state === 'lost' ? 'starting' : state;
     admission.setCapacity({
       state: memberState,
@@ -196,7 +132,11 @@
       coldStartMilliseconds,
       queueTargetMilliseconds: QUEUE_TARGET_MILLISECONDS,
     });
-    directory.update({ service: announced, slots, state: isStopping ? 'draining' : memberState });
+    directory.update({
+      service: instance.service,
+      slots,
+      state: isStopping ? 'draining' : memberState,
+    });
   };
   const upstream = createUpstreamRegistry({
     clock,
@@ -206,26 +146,14 @@
   });
 
   const allowanceOf = (account: AccountId) => policy.current()?.accounts.get(account);
-  const ledger = createAccountLedger(clock, {
-    allowanceOf,
-    isFirstStart: options.isFirstStart,
-  });
-  const ledgerCandidates = (): Member[] =>
-    [...directory.livePeers(), directory.self()].filter(ledgerCandidate).sort(byHost);
-  const control = splitAddress(listeners.control);
-  const ledgers = createLedgerTransport({
-    clock,
-    logger,
-    address: control.host,
-    port: control.port,
-    host,
-    ledger,
-    locator: createLedgerLocator(ledgerCandidates),
-    suspect: directory.suspect,
-  });
+  const ledger = createAccountLedger(clock, { allowanceOf, isFirstStart: options.isFirstStart });
+  const locator = createLedgerLocator(() =>
+    [...directory.livePeers(), directory.self()].filter(mayKeepLedgers).sort(byHost),
+  );
+  const { suspect } = directory;
   const gate = createAccountGate({
     clock,
-    ledgers,
+    ledgers: createLedgerPeers({ logger, host, ledger, locator, links, suspect }),
     allowanceOf,
     nodeCount: () => directory.livePeers().length + 1,
   });
@@ -237,20 +165,10 @@
     clock,
     random,
     logger,
-    linkBudget: (_region: RegionId) => ({
-      bytesPerSecond: LINK_BYTES_PER_SECOND,
-      burstBytes: LINK_BYTES_PER_SECOND * LINK_BURST_SECONDS,
-      largeBodyBytes: LARGE_BODY_BYTES,
-    }),
-  });
-  const serving = createServing({
-    clock,
-    admission,
-    upstream,
-    connect: upstreamAgents.get,
-    protocol,
-    logger,
+    linkBudget: () => linkBudget,
   });
+  const connect = upstreamAgents.get;
+  const serving = createServing({ clock, admission, upstream, connect, protocol, logger });
   const entry = createEntry({
     clock,
     random,
@@ -265,94 +183,49 @@
     serving,
     host,
     callerService: service,
-    connect: peerAgents.get,
+    links,
     isStopping: () => isStopping,
   });
 
-  const answerDirectory = async (
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<void> => {
-    const message = parseDirectoryMessage(await readText(request));
-    if (!message) {
-      logger.log('directoryMessageRejected', { address: request.socket.remoteAddress });
-      response.writeHead(400);
-      response.end();
-      return;
-    }
-    response.writeHead(200, { 'Content-Type': 'application/json' });
-    response.end(JSON.stringify(directory.receive(message)));
-  };
-  const answerPolicy = async (
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<void> => {
-    await readText(request);
-    const bytes = policy.currentBytes();
-    response.writeHead(bytes ? 200 : 404);
-    response.end(bytes);
-  };
-  const peerHandlers: Readonly<
-    Record<string, (request: IncomingMessage, response: ServerResponse) => Promise<void>>
-  > = {
-    [peerPaths.directory]: answerDirectory,
-    [peerPaths.policy]: answerPolicy,
+  const answerExchange = (fields: ExchangeFields): ExchangeFields => {
+    const message = fromExchangeFields(fields);
+    const answer = message ? directory.receive(message) : directory.describe();
+    return toExchangeFields(answer, fields.wantsPolicy ? policy.currentBytes() : undefined, false);
   };
+  const peerListener = createPeerListener(
+    clock,
+    { host, incarnation },
+    { serve: serving.serve, grant: ledger.grant, exchange: answerExchange },
+  );
 
-  const guard = (response: ServerResponse, handled: Promise<void>): void => {
-    handled.catch((error: unknown) => {
-      logger.log('callFailed', { error: error instanceof Error ? error.stack : String(error) });
-      response.destroy();
-    });
-  };
-  const onPeerRequest = (request: IncomingMessage, response: ServerResponse): void => {
-    if (request.headers[peerHeaderNames.call] !== undefined) {
-      guard(response, handlePeerCall(clock, serving, request, response));
-      return;
-    }
-    const handler = peerHandlers[request.url ?? ''];
-    if (handler) guard(response, handler(request, response));
-    else {
-      response.writeHead(404);
-      response.end();
-    }
+  const addGauges = (): void => {
+    const { addGauge } = metrics;
+    const {load} = admission;
+    addGauge('running', 'Calls running at the upstream', () => load().running);
+    addGauge('queued', 'Calls waiting for the upstream', () => load().queued);
+    addGauge('limit', 'Calls that may run at once', () => load().limit);
+    addGauge('policy_revision', 'Revision of the policy in force', policyRevision);
+    addGauge('members', 'Other nodes that answer', () => directory.livePeers().length);
+    addGauge('in_progress', 'Requests without a complete answer', entry.inProgress);
   };
-  peerServer.on('request', onPeerRequest);
-  callerServer.on('request', (request, response) => {
-    guard(response, entry.handle(request, response));
-  });
 
-  const addGauges = (): void => {
-    metrics.addGauge(
-      'buckthornslip_running',
-      'Calls running at the upstream',
-      () => admission.load().running,
-    );
-    metrics.addGauge(
-      'buckthornslip_queued',
-      'Calls waiting for the upstream',
-      () => admission.load().queued,
-    );
-    metrics.addGauge(
-      'buckthornslip_limit',
-      'Calls that may run at once',
-      () => admission.load().limit,
-    );
-    metrics.addGauge(
-      'buckthornslip_policy_revision',
-      'Revision of the policy in force',
-      policyRevision,
-    );
-    metrics.addGauge(
-      'buckthornslip_members',
-      'Other nodes that are reachable',
-      () => directory.livePeers().length,
-    );
-    metrics.addGauge(
-      'buckthornslip_calls_in_progress',
-      'Requests without a complete answer',
-      entry.inProgress,
-    );
+  const stop = async (): Promise<void> => {
+    isStopping = true;
+    logger.log('processStopping', { host, inProgress: entry.inProgress() });
+    directory.update({ state: 'draining' });
+    const deadline = clock.monotonicMilliseconds() + options.stopMilliseconds;
+    const inProgress = (): number => entry.inProgress() + admission.load().running;
+    await drainServer({ clock, server: callers.server, inProgress, deadline });
+    await Promise.race([directory.leave(), clock.sleep(deadline - clock.monotonicMilliseconds())]);
+    peerListener.close();
+    directory.close();
+    policy.close();
+    upstream.close();
+    router.close();
+    links.close();
+    upstreamAgents.close();
+    store.close();
+    logger.log('processStopped', { host, inProgress: inProgress() });
   };
 
   return {
@@ -364,42 +237,11 @@
     },
     start: async () => {
       addGauges();
-      await Promise.all([
-        listen(peerServer, listeners.peers),
-        listen(callerServer, listeners.callers),
-        ledgers.listen(),
-      ]);
+      await Promise.all([peerListener.listen(listeners.peers), callers.listen(listeners.callers)]);
       policy.start();
       directory.start();
-      logger.log('processStarted', {
-        host,
-        incarnation: options.incarnation,
-        region,
-        zone,
-        service,
-      });
-    },
-    stop: async () => {
-      isStopping = true;
-      logger.log('processStopping', { host, inProgress: entry.inProgress() });
-      directory.update({ state: 'draining' });
-      const deadline = clock.monotonicMilliseconds() + options.stopMilliseconds;
-      await drainServer({ clock, server: callerServer, inProgress: entry.inProgress, deadline });
-      await directory.leave();
-      await drainServer({
-        clock,
-        server: peerServer,
-        inProgress: () => admission.load().running,
-        deadline,
-      });
-      directory.close();
-      policy.close();
-      upstream.close();
-      ledgers.close();
-      router.close();
-      peerAgents.close();
-      upstreamAgents.close();
-      logger.log('processStopped', { host, inProgress: entry.inProgress() });
+      logger.log('processStarted', { host, incarnation, region, zone, service });
     },
+    stop,
   };
 }
--- a/packages/sidecar/src/lib/process/createSidecarMetrics.ts
+++ b/packages/sidecar/src/lib/process/createSidecarMetrics.ts
@@ -13,7 +13,7 @@
   readonly countRetry: (reason: RetryReason) => void;
   /** @param milliseconds - Time from arrival to the end of the answer. */
   readonly observeCall: (route: string, status: number, milliseconds: number) => void;
-  /** Adds a figure that is read when the metrics are fetched. */
+  /** Adds a figure that is read when the metrics are fetched; its name gets the prefix of the project. */
   readonly addGauge: (name: string, help: string, read: () => number) => void;
   /** @returns All metrics in the text format. */
   readonly text: () => Promise<string>;
@@ -42,7 +42,7 @@
     },
     addGauge: (name, help, read) => {
       const gauge: Gauge = new Gauge({
-        name,
+        name: `buckthornslip_${name}`,
         help,
         registers: [registry],
         collect: () => gauge.set(read()),
--- /dev/null
+++ b/packages/sidecar/src/lib/quota/createLedgerPeers.ts
@@ -0,0 +1,47 @@
+import type { HostId } from '@buckthornslip/common';
+import { failure, success } from '@buckthornslip/common';
+import type { AccountLedger, LedgerPeers } from '@buckthornslip/limits';
+import type { EventLogger } from '@buckthornslip/telemetry';
+
+import type { PeerLinks } from '../peers/createPeerLinks';
+import type { LedgerLocator } from './createLedgerLocator';
+
+/** What the way to the ledgers works with. */
+interface LedgerPeersOptions {
+  readonly logger: EventLogger;
+  readonly host: HostId;
+  readonly ledger: AccountLedger;
+  readonly locator: LedgerLocator;
+  readonly links: PeerLinks;
+  /** Told of nodes that do not answer. */
+  readonly suspect: (host: HostId) => void;
+}
+
+/** The keeper may have changed after the first try. */
+const TRIES = 2;
+
+/**
+ * Creates the way to the ledgers of all accounts.
+ *
+ * @param options - Own ledger and the place of the others.
+ * @returns The way.
+ * @internal
+ */
+export function createLedgerPeers(options: LedgerPeersOptions): LedgerPeers {
+  const { host, ledger, links, locator, logger, suspect } = options;
+  return {
+    request: async (request) => {
+      for (let tries = 0; tries < TRIES; tries += 1) {
+        const keeper = locator.locate(request.account);
+        if (!keeper) break;
+        if (keeper.host === host) return success(ledger.grant(request));
+        const grant = await links.get(keeper.peerAddress).requestTokens(request);
+        if (grant) return success(grant);
+        suspect(keeper.host);
+      }
+      const keeper = locator.locate(request.account)?.host;
+      logger.log('ledgerUnreachable', { account: request.account, keeper });
+      return failure({ kind: 'ledger-unreachable' });
+    },
+  };
+}
--- a/packages/sidecar/src/lib/serving/ServedAnswer.ts
+++ b/packages/sidecar/src/lib/serving/ServedAnswer.ts
@@ -1,4 +1,4 @@
-import type { IncomingMessage } from 'node:http';
+import type { Readable } from 'node:stream';
 
 import type { LoadReport } from '@buckthornslip/routing';
 import type { Refusal } from '@buckthornslip/calls';
@@ -15,8 +15,8 @@
   readonly headers: readonly string[];
   /** The whole body, or its first part. */
   readonly body: Buffer;
-  /** The rest of a body that is too long to be kept in memory. */
-  readonly rest: IncomingMessage | undefined;
+  /** The rest of a body that is too long to be kept in memory; it fails if the answer is cut short. */
+  readonly rest: Readable | undefined;
 }
 
 /** Result of one attempt, with the load of the serving node. */
--- a/packages/telemetry/src/lib/events/sidecarEvents.ts
+++ b/packages/telemetry/src/lib/events/sidecarEvents.ts
@@ -23,7 +23,6 @@
   memberUnreachable: { number: 7201, level: 'warn', message: 'node does not answer' },
   memberForgotten: { number: 7202, level: 'info', message: 'node has no record and is silent' },
   recordRejected: { number: 7203, level: 'warn', message: 'malformed record ignored' },
-  directoryMessageRejected: { number: 7204, level: 'warn', message: 'malformed message ignored' },
   policyInForce: { number: 7300, level: 'info', message: 'policy in force' },
   policyRejected: {
     number: 7301,
@@ -40,8 +39,9 @@
     action: 'Check the store; nodes that know each other go on without it.',
   },
   storeRegained: { number: 7305, level: 'info', message: 'store keeps the record of this node' },
+  linkLost: { number: 7205, level: 'info', message: 'connection to another node was lost' },
+  linkSilent: { number: 7206, level: 'warn', message: 'connection to another node went silent' },
   ledgerUnreachable: { number: 7400, level: 'warn', message: 'account ledger does not answer' },
-  ledgerMessageFailed: { number: 7401, level: 'warn', message: 'datagram could not be used' },
   settingsReloaded: { number: 7500, level: 'info', message: 'settings read again' },
   settingsRejected: {
     number: 7501,
--- a/packages/telemetry/src/lib/logging/createEventLogger.ts
+++ b/packages/telemetry/src/lib/logging/createEventLogger.ts
@@ -27,21 +27,23 @@
     type: 'hidden',
     minLevel,
     hideLogPositionForProduction: true,
+    // The library would copy, mask and annotate each record, which costs four times as much as writing it.
+    overwrite: {
+      mask: (records) => records,
+      toLogObj: ([record]) => record as Record<string, unknown>,
+      addMeta: (record) => record as never,
+    },
   });
-  logger.attachTransport((record) => {
-    const { _meta: meta, ...fields } = record as Record<string, unknown> & {
-      readonly _meta: { readonly date: Date; readonly logLevelName: string };
-    };
-    const time = meta.date.toISOString();
-    write(JSON.stringify({ time, level: meta.logLevelName, process: options.name, ...fields }));
-  });
+  logger.attachTransport((record) => write(JSON.stringify(record)));
   return {
     log: (event, fields) => {
       const definition: EventDefinition = eventCatalogue[event];
       const level = tslogLevels[definition.level];
       if (level < minLevel) return;
       const { number, message } = definition;
-      logger.log(level, definition.level, { number, event, message, ...fields });
+      const time = new Date().toISOString();
+      const head = { time, level: definition.level, process: options.name, number, event, message };
+      logger.log(level, definition.level, { ...head, ...fields });
     },
   };
 }
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -10,6 +10,7 @@
 export type { PeerCallError } from './lib/connections/PeerCallError';
 export type { PeerChannels } from './lib/connections/PeerChannels';
 export { unaryHandler } from './lib/connections/unaryHandler';
+export * as channelMessages from './lib/generated/channel';
 export * as callMessages from './lib/generated/calls';
 export * as membershipMessages from './lib/generated/membership';
 export { headerNames } from './lib/headers/headerNames';
