--- a/bench/src/sidecar/profile.ts
+++ b/bench/src/sidecar/profile.ts
@@ -62,7 +62,7 @@
     storeAddress,
   };
   writeFileSync(path, formatSettings(settings));
-  const flags = isProfiled ? ['--cpu-prof', `--cpu-prof-dir=${directory}/${service}`] : [];
+  const flags = isProfiled ? ['--cpu-prof', `--cpu-prof-dir=${directory}/${service}`, '--cpu-prof-interval=200'] : [];
   const child = spawn(process.execPath, [...flags, PROGRAM], {
     env: { ...process.env, BUCKTHORNSLIP_BOOT: path },
     stdio: ['ignore', 'ignore', 'inherit'],
--- a/packages/sidecar/src/lib/channel/FrameConnection.ts
+++ b/packages/sidecar/src/lib/channel/FrameConnection.ts
@@ -6,7 +6,7 @@
  * @internal
  */
 export interface FrameConnection {
-  /** Frames sent within one turn of the event loop leave together. */
+  /** Frames sent while one event is handled leave together. */
   readonly send: (frame: Frame) => void;
   /** @returns Monotonic time at which bytes last arrived, in milliseconds. */
   readonly lastReceivedMilliseconds: () => number;
--- a/packages/sidecar/src/lib/channel/createFrameConnection.ts
+++ b/packages/sidecar/src/lib/channel/createFrameConnection.ts
@@ -58,7 +58,7 @@
   return {
     send: (frame) => {
       if (!isOpen) return;
-      if (pending.length === 0) setImmediate(flush);
+      if (pending.length === 0) process.nextTick(flush);
       pending.push(encodeFrame(frame));
     },
     lastReceivedMilliseconds: () => lastReceivedMilliseconds,
--- a/packages/sidecar/src/lib/channel/createPeerLink.ts
+++ b/packages/sidecar/src/lib/channel/createPeerLink.ts
@@ -43,11 +43,11 @@
  * @internal
  */
 export function createPeerLink(options: PeerLinkOptions): PeerLink {
-  const { clock } = options;
+  const { clock, ticker } = options;
   const calls = new Map<number, OpenCall>();
   const messages = new Map<number, (answer: unknown) => void>();
   let nextId = 1;
-  let isWatching = false;
+  let stopWatching: (() => void) | undefined;
   let isResuming = false;
 
   const settle = (id: number, served: ServedAnswer): void => {
@@ -135,20 +135,17 @@
     } else if (quiet > channelTimes.quiet) frames.send({ $case: 'ping', value: { sequence: 0 } });
   };
 
-  const watch = async (): Promise<void> => {
-    if (isWatching) return;
-    isWatching = true;
-    while (calls.size > 0 || messages.size > 0) {
-      await clock.sleep(channelTimes.check);
-      const connection = connector.current();
-      if (connection && calls.size + messages.size > 0) checkSilence(connection);
-    }
-    isWatching = false;
+  /** Silence counts while a message is unanswered. */
+  const watch = (): void => {
+    const connection = connector.current();
+    if (calls.size + messages.size === 0) {
+      stopWatching?.();
+      stopWatching = undefined;
+    } else if (connection) checkSilence(connection);
   };
 
-  /** Silence counts from the first unanswered message on. */
   const startWatching = (): void => {
-    void watch();
+    stopWatching ??= ticker.add(watch);
   };
 
   const start = (
@@ -220,6 +217,9 @@
         (sequence) => ({ $case: 'exchange', value: { sequence, ...fields } }),
         channelTimes.message,
       ),
-    close: connector.close,
+    close: () => {
+      stopWatching?.();
+      connector.close();
+    },
   };
 }
--- a/packages/sidecar/src/lib/channel/createPeerSession.ts
+++ b/packages/sidecar/src/lib/channel/createPeerSession.ts
@@ -13,6 +13,9 @@
 import type { FrameConnection } from './FrameConnection';
 import type { PeerHandlers } from './PeerHandlers';
 
+/** Answers that are kept for one other node; each takes a few kilobytes. */
+const MOST_KEPT = 256;
+
 /** One call of the other node. */
 interface Attempt {
   readonly scope: CallScope;
@@ -57,6 +60,7 @@
   onAbandoned: () => void,
 ): PeerSession {
   const attempts = new Map<number, Attempt>();
+  const settled: { readonly id: number; readonly untilMilliseconds: number }[] = [];
   let connection: FrameConnection | undefined;
   let highestId = 0;
   let stopOrphanTimer: (() => void) | undefined;
@@ -75,12 +79,22 @@
     });
   };
 
+  /** Answers are forgotten as later ones are sent, so that no timer is needed. */
+  const forgetOld = (): void => {
+    const now = clock.monotonicMilliseconds();
+    while (settled[0] && (settled[0].untilMilliseconds < now || settled.length > MOST_KEPT)) {
+      attempts.delete(settled[0].id);
+      settled.shift();
+    }
+  };
+
   const finish = (id: number, attempt: Attempt, served: ServedAnswer): void => {
     attempt.scope.end();
     Object.assign(attempt, { served });
     send(id, served);
     sendRest(id, attempt, served);
-    clock.setTimer(channelTimes.keep, () => attempts.delete(id));
+    settled.push({ id, untilMilliseconds: clock.monotonicMilliseconds() + channelTimes.keep });
+    forgetOld();
   };
 
   const bodyOf = (
--- a/packages/sidecar/src/lib/directory/directoryTimes.ts
+++ b/packages/sidecar/src/lib/directory/directoryTimes.ts
@@ -7,7 +7,7 @@
   /** Pause after a failed call to the store; a failed call is charged like another. */
   retry: 1_000,
   /** Time between comparisons with a random node. */
-  comparison: 1_000,
+  comparison: 3_000,
   /** Time without any sign of a node after which it may be forgotten once the store has no record of it. */
   forget: 20_000,
   /** Time between complete readings of the records in the store. */
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -4,7 +4,9 @@
 import type { Member } from '@buckthornslip/membership';
 import { createRouter } from '@buckthornslip/routing';
 
+import { channelTimes } from '../channel/channelTimes';
 import { createPeerListener } from '../channel/createPeerListener';
+import { createTicker } from '../channel/createTicker';
 import type { ExchangeFields } from '../channel/PeerLink';
 import { createMemberDirectory } from '../directory/createMemberDirectory';
 import type { DirectoryMessage } from '../directory/DirectoryMessage';
@@ -73,7 +75,8 @@
   const { region, service, store, zone } = options;
   const metrics = createSidecarMetrics();
   const admission = createAdmissionController({ clock });
-  const links = createPeerLinks({ clock, logger, self: { host, incarnation } });
+  const ticker = createTicker(clock, channelTimes.check);
+  const links = createPeerLinks({ clock, logger, ticker, self: { host, incarnation } });
   let isStopping = false;
   let routes: RouteTable | undefined;
   let upstreamConnections = DEFAULT_UPSTREAM_CONNECTIONS;
--- a/packages/telemetry/src/lib/logging/createBoundedWriter.ts
+++ b/packages/telemetry/src/lib/logging/createBoundedWriter.ts
@@ -15,7 +15,7 @@
 }
 
 /** Time for which lines are gathered before they are written together, in milliseconds. */
-const GATHER_MILLISECONDS = 200;
+const GATHER_MILLISECONDS = 500;
 
 /** Most lines a second that are written in the long run; a line costs about 15 microseconds. */
 const LINES_PER_SECOND = 400;
