--- a/bench/src/sidecar/profile.ts
+++ b/bench/src/sidecar/profile.ts
@@ -1,7 +1,7 @@
 // Measures the processor time of a forwarded call: an entry node and a serving node as processes, on loopback.
 // npx tsx bench/src/sidecar/profile.ts [calls a second] [seconds] [--profile]
 import { spawn } from 'node:child_process';
-import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs';
+import { mkdtemp, readFile, writeFile } from 'node:fs/promises';
 import { Agent, request as httpRequest } from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -17,6 +17,7 @@
 
 const PROGRAM = 'target/buckthornslip-sidecar.mjs';
 const CLOCK_TICKS_PER_SECOND = 100;
+const KILOBYTES_PER_MEGABYTE = 1_024;
 const callsPerSecond = Number(process.argv[2] ?? 300);
 const seconds = Number(process.argv[3] ?? 10);
 const isProfiled = process.argv.includes('--profile');
@@ -25,7 +26,7 @@
 
 const store = createStoreStandIn(clock);
 const storeAddress = await store.listen();
-const directory = mkdtempSync(join(tmpdir(), 'buckthornslip-'));
+const directory = await mkdtemp(join(tmpdir(), 'buckthornslip-'));
 const configuration = {
   version: 'r1',
   routes: [
@@ -50,7 +51,7 @@
 };
 await store.store.compareAndSwap('op/config', 0, Buffer.from(JSON.stringify(configuration)));
 
-function startNode(service: string, index: number) {
+async function startNode(service: string, index: number) {
   const address = `127.0.1.${index}`;
   const path = join(directory, `${service}.toml`);
   const settings = {
@@ -61,8 +62,10 @@
     region: 'r',
     storeAddress,
   };
-  writeFileSync(path, formatSettings(settings));
-  const flags = isProfiled ? ['--cpu-prof', `--cpu-prof-dir=${directory}/${service}`, '--cpu-prof-interval=200'] : [];
+  await writeFile(path, formatSettings(settings));
+  const flags = isProfiled
+    ? ['--cpu-prof', `--cpu-prof-dir=${directory}/${service}`, '--cpu-prof-interval=200']
+    : [];
   const child = spawn(process.execPath, [...flags, PROGRAM], {
     env: { ...process.env, BUCKTHORNSLIP_BOOT: path },
     stdio: ['ignore', 'ignore', 'inherit'],
@@ -73,20 +76,23 @@
     admin: `${address}:${testPorts.upstream}`,
     workMilliseconds: 20,
   });
-  const cpuSeconds = (): number => {
-    const fields = readFileSync(`/proc/${child.pid}/stat`, 'utf8').split(') ')[1]?.split(' ') ?? [];
+  const cpuSeconds = async (): Promise<number> => {
+    const status = await readFile(`/proc/${child.pid}/stat`, 'utf8');
+    const fields = status.split(') ')[1]?.split(' ') ?? [];
     return (Number(fields[11]) + Number(fields[12])) / CLOCK_TICKS_PER_SECOND;
   };
-  const residentMegabytes = (): number =>
-    Number(/VmRSS:\s+(\d+)/.exec(readFileSync(`/proc/${child.pid}/status`, 'utf8'))?.[1]) / 1024;
+  const residentMegabytes = async (): Promise<number> => {
+    const status = await readFile(`/proc/${child.pid}/status`, 'utf8');
+    return Math.round(Number(/VmRSS:\s+(\d+)/.exec(status)?.[1]) / KILOBYTES_PER_MEGABYTE);
+  };
   return { address, backEnd, child, cpuSeconds, residentMegabytes };
 }
 
-const nodes = [startNode('a', 1), startNode('b', 2)];
+const nodes = [await startNode('a', 1), await startNode('b', 2)];
 await sleep(1_500);
 for (const { backEnd } of nodes) await backEnd.start();
 await sleep(1_500);
-const startUp = nodes.map(({ cpuSeconds }) => cpuSeconds());
+const startUp = await Promise.all(nodes.map(({ cpuSeconds }) => cpuSeconds()));
 
 const agent = new Agent({ keepAlive: true });
 const statuses = new Map<number, number>();
@@ -121,7 +127,9 @@
 await sleep(seconds * 1_000);
 clearInterval(load);
 await sleep(300);
-const used = nodes.map(({ cpuSeconds }, index) => cpuSeconds() - (startUp[index] as number));
+const atEnd = await Promise.all(nodes.map(({ cpuSeconds }) => cpuSeconds()));
+const used = atEnd.map((end, index) => end - (startUp[index] as number));
+const resident = await Promise.all(nodes.map(({ residentMegabytes }) => residentMegabytes()));
 console.table([
   {
     calls: sent,
@@ -129,7 +137,7 @@
     'start-up s': startUp.join(' '),
     'entry ms a call': ((used[0] as number) * 1_000) / sent,
     'serving ms a call': ((used[1] as number) * 1_000) / sent,
-    'resident MB': nodes.map((node) => node.residentMegabytes().toFixed(0)).join(' '),
+    'resident MB': resident.join(' '),
     'store calls': JSON.stringify([...store.calls]),
   },
 ]);
--- a/packages/sidecar/src/lib/channel/createFrameConnection.ts
+++ b/packages/sidecar/src/lib/channel/createFrameConnection.ts
@@ -8,9 +8,9 @@
 
 /** What a connection tells its owner. */
 interface FrameListener {
-  readonly onFrame: (frame: Frame) => void;
+  readonly onFrame: (frame: Frame, connection: FrameConnection) => void;
   /** Called once when the connection has ended. */
-  readonly onClose: () => void;
+  readonly onClose: (connection: FrameConnection) => void;
 }
 
 /**
@@ -38,24 +38,7 @@
     pending = [];
     if (isOpen) socket.write(frames.length === 1 ? (frames[0] as Buffer) : Buffer.concat(frames));
   };
-  const end = (): void => {
-    if (!isOpen) return;
-    isOpen = false;
-    listener.onClose();
-  };
-
-  socket.on('data', (chunk: Buffer) => {
-    lastReceivedMilliseconds = clock.monotonicMilliseconds();
-    const frames = reader.push(chunk);
-    if (frames) frames.forEach(listener.onFrame);
-    else socket.destroy();
-  });
-  // The close event follows and says all that matters.
-  socket.on('error', () => socket.destroy());
-  socket.on('end', () => socket.destroy());
-  socket.on('close', end);
-
-  return {
+  const connection: FrameConnection = {
     send: (frame) => {
       if (!isOpen) return;
       if (pending.length === 0) process.nextTick(flush);
@@ -69,4 +52,22 @@
       end();
     },
   };
+
+  function end(): void {
+    if (!isOpen) return;
+    isOpen = false;
+    listener.onClose(connection);
+  }
+
+  socket.on('data', (chunk: Buffer) => {
+    lastReceivedMilliseconds = clock.monotonicMilliseconds();
+    const frames = reader.push(chunk);
+    if (frames) frames.forEach((frame) => listener.onFrame(frame, connection));
+    else socket.destroy();
+  });
+  // The close event follows and says all that matters.
+  socket.on('error', () => socket.destroy());
+  socket.on('end', () => socket.destroy());
+  socket.on('close', end);
+  return connection;
 }
--- a/packages/sidecar/src/lib/channel/createLinkConnector.ts
+++ b/packages/sidecar/src/lib/channel/createLinkConnector.ts
@@ -59,7 +59,7 @@
     new Promise((resolve) => {
       const socket = openSocket(address);
       let stopTimer: (() => void) | undefined;
-      const onFrame = (frame: Frame): void => {
+      const onFrame = (frame: Frame, frames: FrameConnection): void => {
         if (frame.$case !== 'hello') {
           listener.onFrame(frame);
           return;
@@ -69,7 +69,7 @@
         open = { frames, incarnation: frame.value.incarnation };
         resolve(open);
       };
-      const onClose = (): void => {
+      const onClose = (frames: FrameConnection): void => {
         stopTimer?.();
         opening = undefined;
         resolve(undefined);
--- a/packages/sidecar/src/lib/channel/createPeerLink.ts
+++ b/packages/sidecar/src/lib/channel/createPeerLink.ts
@@ -50,6 +50,15 @@
   let stopWatching: (() => void) | undefined;
   let isResuming = false;
 
+  const connector = createLinkConnector(options, {
+    onFrame: (frame) => dispatch(frame),
+    onLost: () => {
+      void resume();
+    },
+  });
+
+  const send = (frame: Frame): void => connector.current()?.frames.send(frame);
+
   const settle = (id: number, served: ServedAnswer): void => {
     const open = calls.get(id);
     if (!open) return;
@@ -62,7 +71,7 @@
     if (!open || open.receiver) return;
     if (message.bodyFollows) {
       open.receiver = createBodyReceiver((bytes) => {
-        connector.current()?.frames.send({ $case: 'bodyCredit', value: { id: message.id, bytes } });
+        send({ $case: 'bodyCredit', value: { id: message.id, bytes } });
       });
       open.receiver.stream.once('close', () => {
         calls.delete(message.id);
@@ -87,15 +96,8 @@
     exchangeAnswer: onMessage,
   };
 
-  const connector = createLinkConnector(options, {
-    onFrame: (frame) => handlers[frame.$case]?.(frame.value as never),
-    onLost: () => {
-      void resume();
-    },
-  });
-
-  function send(frame: Frame): void {
-    connector.current()?.frames.send(frame);
+  function dispatch(frame: Frame): void {
+    handlers[frame.$case]?.(frame.value as never);
   }
 
   /** Calls whose bodies were on their way cannot go on, nor can those whose process has ended. */
--- a/packages/sidecar/src/lib/channel/createPeerListener.ts
+++ b/packages/sidecar/src/lib/channel/createPeerListener.ts
@@ -1,10 +1,11 @@
 import type { Socket } from 'node:net';
 import { createServer } from 'node:net';
 
-import type { Clock, NodeIdentity } from '@buckthornslip/common';
+import type { AccountId, Clock, NodeIdentity } from '@buckthornslip/common';
 import type { channelMessages } from '@buckthornslip/wire';
 
 import { createFrameConnection } from './createFrameConnection';
+import type { FrameConnection } from './FrameConnection';
 import type { PeerSession } from './createPeerSession';
 import { createPeerSession } from './createPeerSession';
 import type { Frame } from './frameCodec';
@@ -45,8 +46,10 @@
 
   const accept = (socket: Socket): void => {
     let session: PeerSession | undefined;
-    const handlers: Readonly<Partial<Record<Frame['$case'], (value: never) => void>>> = {
-      hello: (hello: channelMessages.Hello) => {
+    const handlers: Readonly<
+      Partial<Record<Frame['$case'], (value: never, connection: FrameConnection) => void>>
+    > = {
+      hello: (hello: channelMessages.Hello, connection) => {
         session = sessionOf(hello);
         session.attach(connection);
         connection.send({ $case: 'hello', value: self });
@@ -56,20 +59,21 @@
       cancel: (message: channelMessages.Cancel) => session?.onCancel(message),
       bodyPart: (message: channelMessages.BodyPart) => session?.onBodyPart(message),
       bodyCredit: (message: channelMessages.BodyCredit) => session?.onBodyCredit(message),
-      ping: (value: channelMessages.Ping) => connection.send({ $case: 'pong', value }),
-      ledgerRequest: ({ account, sequence, wanted }: channelMessages.LedgerRequest) => {
-        const grant = peerHandlers.grant({ account: account as never, wanted });
+      ping: (value: channelMessages.Ping, connection) => connection.send({ $case: 'pong', value }),
+      ledgerRequest: (message: channelMessages.LedgerRequest, connection) => {
+        const { sequence, wanted } = message;
+        const grant = peerHandlers.grant({ account: message.account as AccountId, wanted });
         connection.send({ $case: 'ledgerGrant', value: { sequence, ...grant } });
       },
-      exchange: ({ sequence, ...fields }: channelMessages.Exchange) => {
+      exchange: ({ sequence, ...fields }: channelMessages.Exchange, connection) => {
         const answer = peerHandlers.exchange(fields);
         connection.send({ $case: 'exchangeAnswer', value: { sequence, ...answer } });
       },
     };
     sockets.add(socket);
-    const connection = createFrameConnection(clock, socket, {
-      onFrame: (frame) => handlers[frame.$case]?.(frame.value as never),
-      onClose: () => {
+    createFrameConnection(clock, socket, {
+      onFrame: (frame, connection) => handlers[frame.$case]?.(frame.value as never, connection),
+      onClose: (connection) => {
         sockets.delete(socket);
         session?.detach(connection);
       },
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -1,5 +1,6 @@
 import { createAdmissionController } from '@buckthornslip/admission';
 import type { AccountId } from '@buckthornslip/common';
+import type { CallPolicy } from '@buckthornslip/config';
 import { createAccountGate, createAccountLedger } from '@buckthornslip/limits';
 import type { Member } from '@buckthornslip/membership';
 import { createRouter } from '@buckthornslip/routing';
@@ -85,21 +86,13 @@
     maximumConnections: upstreamConnections,
   }));
 
-  const callers = createCallerListener(logger, (request, response) =>
-    entry.handle(request, response),
-  );
-
   const policy = createPolicyFollower({
     clock,
     store,
     logger,
     key: options.policyKey,
     decode: options.decodePolicy,
-    onChange: (next) => {
-      routes = createRouteTable(next, random);
-      upstreamConnections = next.services.get(service)?.connections ?? upstreamConnections;
-      callers.apply(next.requestLimits);
-    },
+    onChange: (next) => applyPolicy(next),
   });
   const policyRevision = (): number => policy.current()?.revision ?? 0;
 
@@ -190,6 +183,13 @@
     isStopping: () => isStopping,
   });
 
+  const callers = createCallerListener(logger, entry.handle);
+  function applyPolicy(next: CallPolicy): void {
+    routes = createRouteTable(next, random);
+    upstreamConnections = next.services.get(service)?.connections ?? upstreamConnections;
+    callers.apply(next.requestLimits);
+  }
+
   const answerExchange = (fields: ExchangeFields): ExchangeFields => {
     const message = fromExchangeFields(fields);
     const answer = message ? directory.receive(message) : directory.describe();
@@ -203,7 +203,7 @@
 
   const addGauges = (): void => {
     const { addGauge } = metrics;
-    const {load} = admission;
+    const { load } = admission;
     addGauge('running', 'Calls running at the upstream', () => load().running);
     addGauge('queued', 'Calls waiting for the upstream', () => load().queued);
     addGauge('limit', 'Calls that may run at once', () => load().limit);
