--- a/apps/standins/src/lib/node/createStandInAdmission.ts
+++ b/apps/standins/src/lib/node/createStandInAdmission.ts
@@ -47,6 +47,8 @@
       if (!hasSlot() && !(await waitForSlot(signal))) return failure({ kind: 'caller-gone' });
       return success(createTicket());
     },
+    // Every call takes the path of a call that waits.
+    admitAtOnce: () => undefined,
     setCapacity: (announced) => {
       capacity = announced;
       startNext();
--- a/packages/admission/src/lib/controller/AdmissionController.ts
+++ b/packages/admission/src/lib/controller/AdmissionController.ts
@@ -12,6 +12,16 @@
  * @public
  */
 export interface AdmissionController {
+  /**
+   * Decides without waiting, which spares most calls the cost of a signal.
+   *
+   * @param request - The call.
+   * @returns A ticket or a refusal; undefined if the call has to wait.
+   */
+  readonly admitAtOnce: (
+    request: AdmissionRequest,
+  ) => Result<AdmissionTicket, AdmissionRefusal> | undefined;
+
   /**
    * Waits for a slot.
    *
--- a/packages/admission/src/lib/controller/AdmissionRequest.ts
+++ b/packages/admission/src/lib/controller/AdmissionRequest.ts
@@ -15,4 +15,6 @@
   readonly remainingMilliseconds: number;
   /** Whether the call must run while no other call runs. */
   readonly isolated: boolean;
+  /** What the call does, such as its route; calls of one kind take similar times. */
+  readonly kindOfWork?: string;
 }
--- a/packages/admission/src/lib/controller/createAdmissionController.ts
+++ b/packages/admission/src/lib/controller/createAdmissionController.ts
@@ -7,6 +7,7 @@
 import { createPriorityQueue } from '../queue/createPriorityQueue';
 import { createStandingQueueTarget } from '../queue/createStandingQueueTarget';
 import type { QueuedCall } from '../queue/QueuedCall';
+import type { ServiceTimeEstimate } from '../service/createServiceTimeEstimate';
 import { createServiceTimeEstimate } from '../service/createServiceTimeEstimate';
 import type { AdmissionController } from './AdmissionController';
 import type { AdmissionOptions } from './AdmissionOptions';
@@ -23,6 +24,9 @@
 /** Share of the limit that runs calls even if their deadline looks out of reach, to measure the upstream again. */
 const MEASURING_SHARE = 0.1;
 
+/** Kinds of work whose times are remembered; routes come and go with policies. */
+const MOST_KINDS_OF_WORK = 1_024;
+
 /** Nothing runs before the upstream has announced itself; calls wait for a moment. */
 const UNANNOUNCED: UpstreamCapacity = {
   state: 'starting',
@@ -33,6 +37,9 @@
 
 type Admission = Result<AdmissionTicket, AdmissionRefusal>;
 
+/** A call that starts without waiting has nobody to tell. */
+const settleNothing = (): void => undefined;
+
 /**
  * Creates the admission controller of one upstream.
  *
@@ -45,13 +52,23 @@
   const now = clock.monotonicMilliseconds;
   const limit = createAdaptiveLimit(clock);
   const cutoff = createPriorityCutoff(clock);
-  const serviceTime = createServiceTimeEstimate(clock);
+  const serviceTimes = new Map<string, ServiceTimeEstimate>();
   const target = createStandingQueueTarget(clock);
   const slots = createSlots();
   const queue = createPriorityQueue(() => options.queueCapacity ?? DEFAULT_QUEUE_CAPACITY);
   const waiting = new Set<QueuedCall>();
   let capacity = UNANNOUNCED;
 
+  /** Kinds of work differ in their times by an order of magnitude, so that each has an estimate of its own. */
+  const serviceTimeOf = (kindOfWork = ''): ServiceTimeEstimate => {
+    const known = serviceTimes.get(kindOfWork);
+    if (known) return known;
+    if (serviceTimes.size >= MOST_KINDS_OF_WORK) serviceTimes.clear();
+    const created = createServiceTimeEstimate(clock);
+    serviceTimes.set(kindOfWork, created);
+    return created;
+  };
+
   const currentLimit = (): number => (capacity.state === 'ready' ? limit.current() : 0);
   const isLeaving = (): boolean => capacity.state === 'draining' || capacity.state === 'left';
 
@@ -76,7 +93,7 @@
         if (isReleased) return;
         isReleased = true;
         slots.end(call.isolated);
-        if (outcome === 'completed') serviceTime.add(now() - startedMilliseconds);
+        if (outcome === 'completed') call.serviceTime.add(now() - startedMilliseconds);
         limit.observe({ startedMilliseconds, endedMilliseconds: now(), outcome });
         startQueuedCalls();
       },
@@ -126,7 +143,8 @@
 
   const refuseOnArrival = (request: AdmissionRequest): AdmissionRefusal | undefined => {
     if (isLeaving()) return { kind: 'upstream-draining' };
-    const isHopeless = request.remainingMilliseconds < serviceTime.current() && !isMeasuring();
+    const isHopeless =
+      request.remainingMilliseconds < serviceTimeOf(request.kindOfWork).current() && !isMeasuring();
     if (request.remainingMilliseconds <= 0 || isHopeless) return { kind: 'deadline-unreachable' };
     const rank = priorityRank[request.priority];
     cutoff.noteArrival(rank);
@@ -137,6 +155,7 @@
 
   const createCall = (request: AdmissionRequest, settleCall: QueuedCall['settle']): QueuedCall => {
     const arrivedMilliseconds = now();
+    const serviceTime = serviceTimeOf(request.kindOfWork);
     const slack = Math.max(0, request.remainingMilliseconds - serviceTime.current());
     const latestStartMilliseconds = arrivedMilliseconds + slack;
     const longestWait = target.current(capacity.queueTargetMilliseconds);
@@ -149,6 +168,7 @@
       latestStartMilliseconds,
       expiresMilliseconds: Math.min(latestStartMilliseconds, arrivedMilliseconds + longestWait),
       settle: settleCall,
+      serviceTime,
     };
   };
 
@@ -166,7 +186,17 @@
       enqueue(call);
     });
 
+  const canStartAtOnce = (request: AdmissionRequest): boolean =>
+    queue.size() === 0 && slots.hasRoom(currentLimit(), request.isolated);
+
   return {
+    admitAtOnce: (request) => {
+      if (!canStartAtOnce(request)) return undefined;
+      const refusal = refuseOnArrival(request);
+      if (refusal) return failure(refusal);
+      slots.start(request.isolated);
+      return success(createTicket(createCall(request, settleNothing)));
+    },
     admit: (request, signal) => {
       if (signal?.aborted) return Promise.resolve(failure({ kind: 'caller-gone' }));
       const refusal = refuseOnArrival(request);
--- a/packages/admission/src/lib/queue/QueuedCall.ts
+++ b/packages/admission/src/lib/queue/QueuedCall.ts
@@ -2,6 +2,7 @@
 
 import type { AdmissionRefusal } from '../controller/AdmissionRefusal';
 import type { AdmissionTicket } from '../controller/AdmissionTicket';
+import type { ServiceTimeEstimate } from '../service/createServiceTimeEstimate';
 
 /**
  * A call that waits for a slot.
@@ -21,4 +22,6 @@
   readonly expiresMilliseconds: number;
   /** Ends the wait. It is called once. */
   readonly settle: (result: Result<AdmissionTicket, AdmissionRefusal>) => void;
+  /** Time that calls of this kind take. */
+  readonly serviceTime: ServiceTimeEstimate;
 }
--- a/packages/limits/src/lib/ledger/AccountLedger.ts
+++ b/packages/limits/src/lib/ledger/AccountLedger.ts
@@ -10,7 +10,11 @@
  * @public
  */
 export interface AccountLedger {
-  readonly grant: (request: LedgerRequest) => LedgerGrant;
+  /**
+   * Grants tokens, in the order of the requests. A request that finds none waits for a short time; if it would have to
+   * wait longer, it is answered at once with no tokens.
+   */
+  readonly grant: (request: LedgerRequest) => Promise<LedgerGrant>;
 }
 
 /** What a ledger works with. */
--- a/packages/limits/src/lib/ledger/LedgerRequest.ts
+++ b/packages/limits/src/lib/ledger/LedgerRequest.ts
@@ -7,6 +7,8 @@
  */
 export interface LedgerRequest {
   readonly account: AccountId;
-  /** Tokens wanted; at least one. */
-  readonly wanted: number;
+  /** Tokens for requests that wait now; at least one. */
+  readonly needed: number;
+  /** Tokens to have at hand besides, if the account is well below its limit. */
+  readonly ahead: number;
 }
--- a/packages/limits/src/lib/ledger/createAccountGate.ts
+++ b/packages/limits/src/lib/ledger/createAccountGate.ts
@@ -28,7 +28,7 @@
     enter: (account) => {
       const allowance = options.allowanceOf(account);
       if (!allowance || allowance.ratePerSecond === 0) return undefined;
-      return turnstileOf(account).enter(allowance);
+      return turnstileOf(account).enter();
     },
   };
 }
--- a/packages/limits/src/lib/ledger/createAccountLedger.ts
+++ b/packages/limits/src/lib/ledger/createAccountLedger.ts
@@ -1,60 +1,54 @@
 import type { AccountId, Clock } from '@buckthornslip/common';
 
+import type { AccountAllowance } from './AccountAllowance';
 import type { AccountLedger, AccountLedgerOptions } from './AccountLedger';
-
-const MILLISECONDS_PER_SECOND = 1_000;
+import type { AccountLine } from './createAccountLine';
+import { createAccountLine } from './createAccountLine';
+import { createTokenBucket } from './createTokenBucket';
 
 /** Time after a first start of the whole system in which no ledger can have moved, in milliseconds. */
 const FIRST_START_MILLISECONDS = 15_000;
 
-interface Bucket {
-  tokens: number;
-  updatedMilliseconds: number;
-}
+/** Time after which an account that is not known may be, in milliseconds. */
+const UNKNOWN_MILLISECONDS = 1_000;
+
+const NOTHING: AccountAllowance = { ratePerSecond: 0, burst: 0 };
 
 /**
  * Creates the ledger of accounts. A bucket that an earlier node may have spent starts empty: the account then gets its
  * rate at once and its burst as it refills, and never more than both.
  *
- * @param clock - Source of monotonic time.
+ * @param clock - Source of time.
  * @param options - Allowances, and whether this is the first start of the whole system.
  * @returns A ledger without buckets.
  * @public
  */
 export function createAccountLedger(clock: Clock, options: AccountLedgerOptions): AccountLedger {
-  const buckets = new Map<AccountId, Bucket>();
+  const lines = new Map<AccountId, AccountLine>();
   const startedMilliseconds = clock.monotonicMilliseconds();
 
-  const bucketOf = (account: AccountId, burst: number): Bucket => {
-    const known = buckets.get(account);
+  const lineOf = (account: AccountId): AccountLine => {
+    const known = lines.get(account);
     if (known) return known;
-    const updatedMilliseconds = clock.monotonicMilliseconds();
-    const isEarly = updatedMilliseconds - startedMilliseconds < FIRST_START_MILLISECONDS;
-    const created = { tokens: options.isFirstStart && isEarly ? burst : 0, updatedMilliseconds };
-    buckets.set(account, created);
+    const allowance = (): AccountAllowance => options.allowanceOf(account) ?? NOTHING;
+    const age = clock.monotonicMilliseconds() - startedMilliseconds;
+    const isUntouched = options.isFirstStart && age < FIRST_START_MILLISECONDS;
+    const bucket = createTokenBucket(clock, allowance, isUntouched ? allowance().burst : 0);
+    const created = createAccountLine(clock, bucket, allowance);
+    lines.set(account, created);
     return created;
   };
 
   return {
-    grant: ({ account, wanted }) => {
-      const allowance = options.allowanceOf(account);
-      if (!allowance) return { tokens: 0, retryAfterMilliseconds: MILLISECONDS_PER_SECOND };
-      const { burst, ratePerSecond } = allowance;
-      if (ratePerSecond === 0) return { tokens: wanted, retryAfterMilliseconds: 0 };
-      const bucket = bucketOf(account, burst);
-      const now = clock.monotonicMilliseconds();
-      const refill = ((now - bucket.updatedMilliseconds) / MILLISECONDS_PER_SECOND) * ratePerSecond;
-      // A bucket holds at least one token, or an account with a small burst would never get any.
-      bucket.tokens = Math.min(Math.max(1, burst), bucket.tokens + refill);
-      bucket.updatedMilliseconds = now;
-      const tokens = Math.min(wanted, Math.floor(bucket.tokens));
-      bucket.tokens -= tokens;
-      const missing = 1 - bucket.tokens;
-      return {
-        tokens,
-        retryAfterMilliseconds:
-          tokens > 0 ? 0 : (missing / ratePerSecond) * MILLISECONDS_PER_SECOND,
-      };
+    grant: (request) => {
+      const allowance = options.allowanceOf(request.account);
+      if (!allowance) {
+        return Promise.resolve({ tokens: 0, retryAfterMilliseconds: UNKNOWN_MILLISECONDS });
+      }
+      if (allowance.ratePerSecond === 0) {
+        return Promise.resolve({ tokens: request.needed, retryAfterMilliseconds: 0 });
+      }
+      return lineOf(request.account).grant(request);
     },
   };
 }
--- a/packages/limits/src/lib/ledger/createAccountTurnstile.ts
+++ b/packages/limits/src/lib/ledger/createAccountTurnstile.ts
@@ -13,26 +13,20 @@
 /** Life of unspent tokens, in milliseconds. What is granted early adds to what the fleet spends in a window. */
 const TOKEN_LIFE_MILLISECONDS = 400;
 
-/** Longest time that a request waits for a token, in milliseconds. */
-const LONGEST_WAIT_MILLISECONDS = 300;
-
-/** Shortest pause between two questions to a ledger that had no tokens, in milliseconds. */
-const SHORTEST_PAUSE_MILLISECONDS = 20;
+/** After a ledger has refused, this node refuses by itself for at most this time, in milliseconds. */
+const LONGEST_CLOSURE_MILLISECONDS = 100;
 
 /** Time after which a caller may come back while the ledger cannot be reached, in milliseconds. */
 const UNREACHABLE_MILLISECONDS = 1_000;
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
-interface Waiter {
-  readonly settle: (refusal: GateRefusal | undefined) => void;
-  readonly sinceMilliseconds: number;
-}
+type Waiter = (refusal: GateRefusal | undefined) => void;
 
 /** Lets requests of one account in at one node. */
 export interface AccountTurnstile {
   /** @returns Undefined if a token was at hand; otherwise the decision, when it is made. */
-  readonly enter: (allowance: AccountAllowance) => Promise<GateRefusal | undefined> | undefined;
+  readonly enter: () => Promise<GateRefusal | undefined> | undefined;
 }
 
 /**
@@ -54,6 +48,7 @@
   const waiters: Waiter[] = [];
   let tokens = 0;
   let tokensExpireMilliseconds = 0;
+  let closedUntilMilliseconds = 0;
   let isAsking = false;
 
   const takeToken = (): boolean => {
@@ -63,16 +58,11 @@
   };
 
   const admitWhile = (take: () => boolean): void => {
-    while (waiters.length > 0 && take()) waiters.shift()?.settle(undefined);
+    while (waiters.length > 0 && take()) waiters.shift()?.(undefined);
   };
 
   const refuseAll = (refusal: GateRefusal): void => {
-    waiters.splice(0).forEach(({ settle }) => settle(refusal));
-  };
-
-  const refuseOld = (refusal: GateRefusal): void => {
-    const oldest = now() - LONGEST_WAIT_MILLISECONDS;
-    while ((waiters[0]?.sinceMilliseconds ?? Infinity) <= oldest) waiters.shift()?.settle(refusal);
+    waiters.splice(0).forEach((settle) => settle(refusal));
   };
 
   const useReserve = ({ ratePerSecond }: AccountAllowance): void => {
@@ -83,51 +73,46 @@
     });
   };
 
-  const useGrant = async (grant: LedgerGrant, askedMilliseconds: number): Promise<void> => {
+  const useGrant = (grant: LedgerGrant, askedMilliseconds: number): void => {
     tokens = now() < tokensExpireMilliseconds ? tokens + grant.tokens : grant.tokens;
     tokensExpireMilliseconds = askedMilliseconds + TOKEN_LIFE_MILLISECONDS;
     admitWhile(takeToken);
-    if (waiters.length === 0) return;
-    const pause = Math.max(SHORTEST_PAUSE_MILLISECONDS, grant.retryAfterMilliseconds);
-    const refusal = { reason: 'account-rate', retryAfterMilliseconds: pause } as const;
-    refuseOld(refusal);
-    if (pause > LONGEST_WAIT_MILLISECONDS) refuseAll(refusal);
-    if (waiters.length > 0) await clock.sleep(pause);
+    if (grant.tokens > 0) return;
+    const { retryAfterMilliseconds } = grant;
+    closedUntilMilliseconds =
+      now() + Math.min(LONGEST_CLOSURE_MILLISECONDS, retryAfterMilliseconds / 2);
+    refuseAll({ reason: 'account-rate', retryAfterMilliseconds });
   };
 
-  const wanted = (): number => {
-    const ahead = (demand.perSecond() * PREFETCH_MILLISECONDS) / MILLISECONDS_PER_SECOND;
-    return waiters.length + Math.floor(ahead);
-  };
+  const ahead = (): number =>
+    Math.floor((demand.perSecond() * PREFETCH_MILLISECONDS) / MILLISECONDS_PER_SECOND);
 
   /** One question at a time; it asks for all waiting requests together. */
   const ask = async (): Promise<void> => {
     isAsking = true;
     while (waiters.length > 0) {
       const askedMilliseconds = now();
-      const answer = await ledgers.request({ account, wanted: wanted() });
+      const needed = waiters.length;
+      const answer = await ledgers.request({ account, needed, ahead: ahead() });
       const allowance = allowanceOf(account);
       if (!allowance) refuseAll({ reason: 'account-rate', retryAfterMilliseconds: 0 });
-      else if (answer.ok) await useGrant(answer.value, askedMilliseconds);
+      else if (answer.ok) useGrant(answer.value, askedMilliseconds);
       else useReserve(allowance);
     }
     isAsking = false;
   };
 
-  const mostWaiting = ({ ratePerSecond }: AccountAllowance): number =>
-    Math.max(1, (ratePerSecond * LONGEST_WAIT_MILLISECONDS) / MILLISECONDS_PER_SECOND);
-
   return {
-    enter: (allowance) => {
+    enter: () => {
       demand.note();
       if (takeToken()) return undefined;
-      // A longer line could not be served before its requests give up waiting.
-      if (waiters.length >= mostWaiting(allowance)) {
-        const retryAfterMilliseconds = LONGEST_WAIT_MILLISECONDS;
+      const closedMilliseconds = closedUntilMilliseconds - now();
+      if (closedMilliseconds > 0) {
+        const retryAfterMilliseconds = closedMilliseconds;
         return Promise.resolve({ reason: 'account-rate', retryAfterMilliseconds });
       }
       return new Promise((settle) => {
-        waiters.push({ settle, sinceMilliseconds: now() });
+        waiters.push(settle);
         if (!isAsking) void ask();
       });
     },
--- a/packages/sidecar/src/lib/channel/PeerHandlers.ts
+++ b/packages/sidecar/src/lib/channel/PeerHandlers.ts
@@ -11,6 +11,6 @@
  */
 export interface PeerHandlers {
   readonly serve: (call: ServingCall) => Promise<ServedAnswer>;
-  readonly grant: (request: LedgerRequest) => LedgerGrant;
+  readonly grant: (request: LedgerRequest) => Promise<LedgerGrant>;
   readonly exchange: (fields: ExchangeFields) => ExchangeFields;
 }
--- a/packages/sidecar/src/lib/channel/callFrames.ts
+++ b/packages/sidecar/src/lib/channel/callFrames.ts
@@ -27,6 +27,7 @@
   return {
     id,
     requestId: call.requestId,
+    route: call.route,
     service: call.service,
     account: call.account ?? '',
     callerService: call.callerService,
@@ -53,6 +54,7 @@
 ): Omit<ServingCall, 'body' | 'scope'> {
   return {
     requestId: message.requestId,
+    route: message.route,
     service: message.service as ServiceId,
     account: message.account === '' ? undefined : (message.account as AccountId),
     callerService: message.callerService as ServiceId,
--- a/packages/sidecar/src/lib/channel/createPeerListener.ts
+++ b/packages/sidecar/src/lib/channel/createPeerListener.ts
@@ -61,9 +61,11 @@
       bodyCredit: (message: channelMessages.BodyCredit) => session?.onBodyCredit(message),
       ping: (value: channelMessages.Ping, connection) => connection.send({ $case: 'pong', value }),
       ledgerRequest: (message: channelMessages.LedgerRequest, connection) => {
-        const { sequence, wanted } = message;
-        const grant = peerHandlers.grant({ account: message.account as AccountId, wanted });
-        connection.send({ $case: 'ledgerGrant', value: { sequence, ...grant } });
+        const { ahead, needed, sequence } = message;
+        const account = message.account as AccountId;
+        void peerHandlers.grant({ account, needed, ahead }).then((grant) => {
+          connection.send({ $case: 'ledgerGrant', value: { sequence, ...grant } });
+        });
       },
       exchange: ({ sequence, ...fields }: channelMessages.Exchange, connection) => {
         const answer = peerHandlers.exchange(fields);
--- a/packages/sidecar/src/lib/entry/createEntry.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.ts
@@ -147,6 +147,7 @@
       scope,
       call: {
         requestId: head.requestId as string,
+        route: route.name,
         service: entry.nextService(),
         account: account?.id,
         callerService,
--- a/packages/sidecar/src/lib/quota/createLedgerPeers.ts
+++ b/packages/sidecar/src/lib/quota/createLedgerPeers.ts
@@ -34,7 +34,7 @@
       for (let tries = 0; tries < TRIES; tries += 1) {
         const keeper = locator.locate(request.account);
         if (!keeper) break;
-        if (keeper.host === host) return success(ledger.grant(request));
+        if (keeper.host === host) return success(await ledger.grant(request));
         const grant = await links.get(keeper.peerAddress).requestTokens(request);
         if (grant) return success(grant);
         suspect(keeper.host);
--- a/packages/sidecar/src/lib/serving/ServingCall.ts
+++ b/packages/sidecar/src/lib/serving/ServingCall.ts
@@ -10,6 +10,8 @@
  */
 export interface ServingCall {
   readonly requestId: string;
+  /** Name of the route; calls of one route do similar work. */
+  readonly route: string;
   readonly service: ServiceId;
   readonly account: AccountId | undefined;
   /** Service of the host where the request entered. */
--- a/packages/sidecar/src/lib/serving/createServing.ts
+++ b/packages/sidecar/src/lib/serving/createServing.ts
@@ -1,4 +1,8 @@
-import type { AdmissionController, AdmissionTicket } from '@buckthornslip/admission';
+import type {
+  AdmissionController,
+  AdmissionRequest,
+  AdmissionTicket,
+} from '@buckthornslip/admission';
 import type { Refusal } from '@buckthornslip/calls';
 import { forwardableHeaders, refuse } from '@buckthornslip/calls';
 import type { Clock, Priority, RefusalReason } from '@buckthornslip/common';
@@ -167,16 +171,16 @@
   const admit = async (call: ServingCall): Promise<UpstreamAnswer | Refusal> => {
     const refusal = refuseByState(call, upstream.current());
     if (refusal) return refusal;
-    const admitted = await admission.admit(
-      {
-        account: call.account,
-        priority: PRIORITIES[Math.min(call.rank, PRIORITIES.length - 1)] as Priority,
-        depth: call.isNested ? NESTED_DEPTH : 0,
-        remainingMilliseconds: call.scope.remainingMilliseconds(),
-        isolated: false,
-      },
-      call.scope.signal,
-    );
+    const request: AdmissionRequest = {
+      account: call.account,
+      priority: PRIORITIES[Math.min(call.rank, PRIORITIES.length - 1)] as Priority,
+      depth: call.isNested ? NESTED_DEPTH : 0,
+      remainingMilliseconds: call.scope.remainingMilliseconds(),
+      isolated: false,
+      kindOfWork: call.route,
+    };
+    const admitted =
+      admission.admitAtOnce(request) ?? (await admission.admit(request, call.scope.signal));
     if (!admitted.ok) {
       const { limit, queued, running } = admission.load();
       const { requestId, rank } = call;
