--- a/packages/limits/src/lib/ledger/createAccountGate.test.ts
+++ b/packages/limits/src/lib/ledger/createAccountGate.test.ts
@@ -73,16 +73,15 @@
   const random = createSeededRandom(seed);
   const entered: number[][] = world.gates.map(() => []);
   let refused = 0;
+  const enter = async (node: number): Promise<void> => {
+    const refusal = await world.gates[node]!.enter(ACCOUNT);
+    if (refusal) refused += 1;
+    else entered[node]!.push(world.clock.monotonicMilliseconds());
+  };
   for (let step = 0; step < seconds * 100; step += 1) {
     for (let due = perSecond / 100; due > 0; due -= 1) {
       const node = random.nextInteger(world.gates.length);
-      if (random.next() < due) {
-        const decision = world.gates[node]!.enter(ACCOUNT);
-        void Promise.resolve(decision).then((refusal) => {
-          if (refusal) refused += 1;
-          else entered[node]!.push(world.clock.monotonicMilliseconds());
-        });
-      }
+      if (random.next() < due) void enter(node);
     }
     await world.clock.advance(10);
   }
--- /dev/null
+++ b/packages/sidecar/src/lib/channel/createPeerLink.test.ts
@@ -0,0 +1,290 @@
+import type { AddressInfo, Server, Socket } from 'node:net';
+import { connect, createServer } from 'node:net';
+import { Readable } from 'node:stream';
+import { text } from 'node:stream/consumers';
+
+import { createCallScope, refuse } from '@buckthornslip/calls';
+import type { HostId, Incarnation, ServiceId } from '@buckthornslip/common';
+import { createSystemClock } from '@buckthornslip/common';
+import { createSilentLogger } from '@buckthornslip/telemetry';
+import t from 'tap';
+
+import type { ServedAnswer } from '../serving/ServedAnswer';
+import type { ServingCall } from '../serving/ServingCall';
+import { createPeerLink } from './createPeerLink';
+import { createPeerListener } from './createPeerListener';
+import { createTicker } from './createTicker';
+import type { PeerHandlers } from './PeerHandlers';
+
+const clock = createSystemClock();
+const keepAlive = setInterval(() => undefined, 1_000);
+t.teardown(() => clearInterval(keepAlive));
+
+const FIRST = 1 as Incarnation;
+const SECOND = 2 as Incarnation;
+
+/** A relay between two nodes that can lose connections. */
+interface Relay {
+  readonly address: string;
+  /** Resets all connections. */
+  readonly reset: () => void;
+  /** Goes on taking bytes of open connections and passes none of them on. */
+  readonly silence: () => void;
+  /** Refuses further connections. */
+  readonly refuse: () => void;
+  readonly close: () => void;
+}
+
+function listenOnLoopback(server: Server): Promise<string> {
+  return new Promise((resolve) => {
+    server.listen(0, '127.0.0.1', () => {
+      resolve(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+    });
+  });
+}
+
+async function createRelay(target: () => string): Promise<Relay> {
+  const sockets = new Set<Socket>();
+  const server = createServer((incoming) => {
+    const [host, port] = target().split(':');
+    const outgoing = connect(Number(port), host);
+    [incoming, outgoing].forEach((socket) => {
+      sockets.add(socket);
+      socket.on('error', () => undefined);
+      socket.on('close', () => {
+        sockets.delete(socket);
+        incoming.destroy();
+        outgoing.destroy();
+      });
+    });
+    incoming.pipe(outgoing);
+    outgoing.pipe(incoming);
+  });
+  const address = await listenOnLoopback(server);
+  const reset = (): void => sockets.forEach((socket) => socket.resetAndDestroy());
+  return {
+    address,
+    reset,
+    silence: () => {
+      sockets.forEach((socket) => {
+        socket.unpipe();
+        socket.resume();
+      });
+    },
+    refuse: () => server.close(),
+    close: () => {
+      server.close();
+      reset();
+    },
+  };
+}
+
+async function startNode(incarnation: Incarnation, serve: PeerHandlers['serve']) {
+  const self = { host: 'serving' as HostId, incarnation };
+  const listener = createPeerListener(clock, self, {
+    serve,
+    grant: async () => ({ tokens: 1, retryAfterMilliseconds: 0 }),
+    exchange: (fields) => fields,
+  });
+  // The listener takes any free port through a server that is closed at once.
+  const probe = createServer();
+  const address = await listenOnLoopback(probe);
+  await new Promise((resolve) => {
+    probe.close(resolve);
+  });
+  await listener.listen(address);
+  return { address, close: listener.close };
+}
+
+function openLink(address: string) {
+  return createPeerLink({
+    clock,
+    logger: createSilentLogger(),
+    ticker: createTicker(clock, 50),
+    self: { host: 'entry' as HostId, incarnation: FIRST },
+    address,
+  });
+}
+
+function callOf(changed: Partial<ServingCall> = {}, timeoutMilliseconds = 5_000): ServingCall {
+  return {
+    requestId: 'request',
+    route: 'route',
+    service: 'service' as ServiceId,
+    account: undefined,
+    callerService: 'caller' as ServiceId,
+    rank: 0,
+    isNested: false,
+    repeatable: false,
+    method: 'POST',
+    target: '/path',
+    headers: ['Name', 'value'],
+    body: { kind: 'whole', bytes: Buffer.from('body') },
+    scope: createCallScope(clock, timeoutMilliseconds),
+    ...changed,
+  };
+}
+
+function answerOf(body: string, rest?: Readable): ServedAnswer {
+  const headers = ['Answer', 'yes'];
+  const answer = { kind: 'answer', status: 200, headers, body: Buffer.from(body), rest } as const;
+  return { answer, load: { running: 1, queued: 2, limit: 3, cutoffRank: 4 } };
+}
+
+// Guards against fields that change on the way between two nodes.
+void t.test('a call and its answer travel whole', async (test) => {
+  let seen: ServingCall | undefined;
+  const node = await startNode(FIRST, async (call) => {
+    seen = call;
+    return answerOf('answer');
+  });
+  const link = openLink(node.address);
+  const served = await link.call(callOf());
+  test.match(seen, { requestId: 'request', route: 'route', headers: ['Name', 'value'] });
+  test.equal(seen?.body.kind === 'whole' && seen.body.bytes.toString(), 'body');
+  test.match(served.load, { running: 1, queued: 2, limit: 3, cutoffRank: 4 });
+  test.equal(served.answer.kind === 'answer' && served.answer.body.toString(), 'answer');
+  link.close();
+  node.close();
+});
+
+// Guards against a call that runs twice, or an answer that is lost, when its connection is reset while it runs.
+void t.test('the answer of a running call survives its connection', async (test) => {
+  let runs = 0;
+  const node = await startNode(FIRST, async () => {
+    runs += 1;
+    await clock.sleep(300);
+    return answerOf('answer');
+  });
+  const relay = await createRelay(() => node.address);
+  const link = openLink(relay.address);
+  const calling = link.call(callOf());
+  await clock.sleep(100);
+  relay.reset();
+  const { answer } = await calling;
+  test.equal(answer.kind === 'answer' && answer.body.toString(), 'answer');
+  test.equal(runs, 1);
+  link.close();
+  relay.close();
+  node.close();
+});
+
+// Guards against a call that waits for its deadline because its connection went silent without a sign.
+void t.test('a silent connection is replaced', async (test) => {
+  const node = await startNode(FIRST, async () => {
+    await clock.sleep(300);
+    return answerOf('answer');
+  });
+  const relay = await createRelay(() => node.address);
+  const link = openLink(relay.address);
+  const startedMilliseconds = clock.monotonicMilliseconds();
+  const calling = link.call(callOf());
+  await clock.sleep(100);
+  relay.silence();
+  const { answer } = await calling;
+  test.equal(answer.kind, 'answer');
+  test.ok(clock.monotonicMilliseconds() - startedMilliseconds < 3_000);
+  link.close();
+  relay.close();
+  node.close();
+});
+
+// Guards against a statement that a call has not run although its process may have run it before it ended.
+void t.test('a process that has ended may have run its calls', async (test) => {
+  let address = '';
+  const earlier = await startNode(FIRST, async () => {
+    await clock.sleep(60_000);
+    return answerOf('first');
+  });
+  address = earlier.address;
+  const relay = await createRelay(() => address);
+  const link = openLink(relay.address);
+  const calling = link.call(callOf());
+  await clock.sleep(100);
+  const later = await startNode(SECOND, async () => answerOf('second'));
+  address = later.address;
+  earlier.close();
+  relay.reset();
+  const { answer } = await calling;
+  test.match(answer, { kind: 'refusal', reason: 'peer-unreachable', outcome: 'may-have-run' });
+  link.close();
+  relay.close();
+  later.close();
+});
+
+// Guards against callers that wait for a node that cannot be reached, and against a false "may have run".
+void t.test('a call that was never sent has not run', async (test) => {
+  const relay = await createRelay(() => '127.0.0.1:1');
+  relay.refuse();
+  const link = openLink(relay.address);
+  const { answer } = await link.call(callOf());
+  test.match(answer, { kind: 'refusal', reason: 'peer-unreachable', outcome: 'not-run' });
+  link.close();
+  relay.close();
+});
+
+// Guards against an upstream that goes on working for a caller that has gone away.
+void t.test('a cancelled call is cancelled at the serving node', async (test) => {
+  let reason: string | undefined;
+  const node = await startNode(FIRST, async ({ scope }) => {
+    await new Promise<void>((resolve) => {
+      scope.onCancel(resolve);
+    });
+    reason = scope.cancelReason();
+    return { answer: refuse('caller-gone', 'may-have-run'), load: undefined };
+  });
+  const link = openLink(node.address);
+  const call = callOf();
+  const calling = link.call(call);
+  await clock.sleep(100);
+  call.scope.cancel('caller-gone');
+  test.match((await calling).answer, { reason: 'caller-gone', outcome: 'may-have-run' });
+  await clock.sleep(100);
+  test.equal(reason, 'caller-gone');
+  link.close();
+  node.close();
+});
+
+// Guards against memory that grows with the body, and against a body that is cut or out of order.
+void t.test('long bodies travel in parts, in both directions', async (test) => {
+  const long = Array.from({ length: 200 }, (_, index) => `${index}`.padEnd(10_000, '.'));
+  const node = await startNode(FIRST, async ({ body }) => {
+    if (body.kind !== 'stream') throw new Error('the body should follow in parts');
+    const rest = await text(body.stream);
+    return answerOf(
+      body.head.toString(),
+      Readable.from([Buffer.from(rest)], { objectMode: false }),
+    );
+  });
+  const link = openLink(node.address);
+  const stream = Readable.from(
+    long.map((part) => Buffer.from(part)),
+    { objectMode: false },
+  );
+  const body = { kind: 'stream', stream, length: undefined, head: Buffer.from('head') } as const;
+  const { answer } = await link.call(callOf({ body }));
+  if (answer.kind !== 'answer' || !answer.rest) throw new Error('an answer in parts was expected');
+  test.equal(answer.body.toString(), 'head');
+  test.equal(await text(answer.rest), long.join(''));
+  link.close();
+  node.close();
+});
+
+// Guards against an answer in parts that looks complete although its connection was lost.
+void t.test('an answer in parts that breaks off fails', async (test) => {
+  const node = await startNode(FIRST, async () => {
+    const rest = new Readable({ read: () => undefined });
+    rest.push('part');
+    return answerOf('head', rest);
+  });
+  const relay = await createRelay(() => node.address);
+  const link = openLink(relay.address);
+  const { answer } = await link.call(callOf());
+  if (answer.kind !== 'answer' || !answer.rest) throw new Error('an answer in parts was expected');
+  const reading = text(answer.rest);
+  relay.reset();
+  await test.rejects(reading);
+  link.close();
+  relay.close();
+  node.close();
+});
