Do not take an unframed answer that was reset for a whole one

Change: at that end the address of the other side is asked for; it is gone after a reset. Test: exchange.test.ts failed before ('whole' instead of 'truncated').

--- a/packages/sidecar/src/lib/http/exchange.ts
+++ b/packages/sidecar/src/lib/http/exchange.ts
@@ -33,6 +33,24 @@
   });
 }
 
+/**
+ * Watches the end of an answer that has no length. The event loop reports a reset that directly follows data as a regular
+ * end of the stream; only the missing address of the other side then tells that the connection was reset.
+ *
+ * @returns Whether the connection was reset, to be asked at the end of the answer.
+ */
+function watchUnframedEnd({ headers, socket }: IncomingMessage): () => boolean {
+  const isFramed =
+    headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+  let wasReset = false;
+  if (!isFramed) {
+    socket.prependOnceListener('end', () => {
+      wasReset = socket.remoteAddress === undefined;
+    });
+  }
+  return () => wasReset;
+}
+
 /** The exchange has ended already; without a listener the error would end the process. */
 function ignoreLateError(): void {}
 
@@ -49,6 +67,7 @@
   return new Promise((resolve) => {
     let isSettled = false;
     let isSent = false;
+    let hasHead = false;
     let stopListening: (() => void) | undefined;
     let connectTimer: NodeJS.Timeout | undefined;
     const request = httpRequest({
@@ -72,7 +91,10 @@
       settle({ kind: 'failed', failure, sent: isSent });
       request.destroy();
     };
-    const failLost = (): void => fail(isSent ? 'reset' : 'unconnected');
+    const failLost = (): void => {
+      if (hasHead) fail('truncated');
+      else fail(isSent ? 'reset' : 'unconnected');
+    };
 
     request.once('socket', (socket: Socket) => {
       if (!socket.connecting) {
@@ -91,6 +113,8 @@
         fail('foreign');
         return;
       }
+      hasHead = true;
+      const wasReset = watchUnframedEnd(response);
       const chunks: Buffer[] = [];
       let size = 0;
       const onData = (chunk: Buffer): void => {
@@ -103,7 +127,7 @@
       };
       response.on('data', onData);
       response.once('end', () => {
-        if (!response.complete) fail('truncated');
+        if (!response.complete || wasReset()) fail('truncated');
         else {
           const body = chunks.length === 1 ? (chunks[0] as Buffer) : Buffer.concat(chunks);
           settle({ kind: 'whole', response, body });
