Let calls of upstreams inherit the urgency of the call that they serve

Cause: nested calls carry no key and came all at the highest level, so that at a crowded deep service those of urgent and of other calls competed alike. Change: the serving node keeps its running calls by deadline and start; a nested call, known by its host's address, takes level and account from the match. Account ranks go before route ranks, as the pairs occur in the policy.

--- a/packages/sidecar/src/lib/channel/createPeerLink.test.ts
+++ b/packages/sidecar/src/lib/channel/createPeerLink.test.ts
@@ -112,6 +112,7 @@
     route: 'route',
     service: 'service' as ServiceId,
     account: undefined,
+    payer: undefined,
     callerService: 'caller' as ServiceId,
     rank: 0,
     isNested: false,
--- a/packages/sidecar/src/lib/entry/EntryOptions.ts
+++ b/packages/sidecar/src/lib/entry/EntryOptions.ts
@@ -5,6 +5,8 @@
 
 import type { PeerLinks } from '../peers/createPeerLinks';
 import type { PolicyFollower } from '../policy/PolicyFollower';
+import type { UrgencyLevels } from '../policy/createUrgencyLevels';
+import type { RunningCalls } from '../serving/createRunningCalls';
 import type { RouteTable } from '../policy/createRouteTable';
 import type { CallProtocol } from '../protocol/CallProtocol';
 import type { Serving } from '../serving/createServing';
@@ -24,6 +26,11 @@
   readonly protocol: CallProtocol;
   readonly policy: PolicyFollower;
   readonly routes: () => RouteTable | undefined;
+  readonly levels: () => UrgencyLevels | undefined;
+  /** Calls that the own upstream runs, which its own calls serve. */
+  readonly running: RunningCalls;
+  /** Address of this host, from which the own upstream's calls come. */
+  readonly address: string;
   readonly gate: AccountGate;
   readonly router: Router;
   readonly retries: RetryAllowance;
--- a/packages/sidecar/src/lib/entry/createEntry.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.ts
@@ -9,6 +9,7 @@
 import { readRequestBody } from '../http/readRequestBody';
 import { writeAnswer } from '../http/writeAnswer';
 import type { RouteEntry } from '../policy/createRouteTable';
+import type { ParentCall } from '../serving/createRunningCalls';
 import type { RequestHead } from '../protocol/RequestHead';
 import { createForwarder } from './createForwarder';
 import type { EntryOptions } from './EntryOptions';
@@ -33,6 +34,11 @@
   readonly head: RequestHead;
   /** Undefined on open routes. */
   readonly account: PolicyAccount | undefined;
+  /** Whether the request comes from the upstream beside this node. */
+  readonly isNested: boolean;
+  /** Call that a nested request serves, if it can be told. */
+  readonly parent: ParentCall | undefined;
+  readonly rank: number;
 }
 
 function timeoutOf(head: RequestHead, route: PolicyRoute): number {
@@ -42,11 +48,6 @@
   );
 }
 
-/** Requests on open routes are those of upstreams: they serve a call that runs already. */
-function rankOf({ account, entry }: Accepted): number {
-  return account ? Math.max(account.rank, entry.route.rank) : 0;
-}
-
 /**
  * Creates the entry side of a node.
  *
@@ -60,6 +61,24 @@
   const forwarder = createForwarder(options);
   let running = 0;
 
+  const authenticate = (
+    current: CallPolicy,
+    { access }: PolicyRoute,
+    { key }: RequestHead,
+  ): Result<PolicyAccount | undefined, Refusal> => {
+    if (access === 'open') return success(undefined);
+    if (key === undefined) return failure(refuse('key-missing'));
+    const account = current.accountOfKey.get(key);
+    return account ? success(account) : failure(refuse('key-unknown'));
+  };
+
+  const findParent = (route: PolicyRoute, head: RequestHead): ParentCall | undefined =>
+    options.running.findParent({
+      route: route.name,
+      nowMilliseconds: clock.monotonicMilliseconds(),
+      remainingMilliseconds: head.timeoutMilliseconds ?? DEFAULT_TIMEOUT_MILLISECONDS,
+    });
+
   const accept = (request: IncomingMessage): Result<Accepted, Refusal> => {
     const current = policy.current();
     const routes = options.routes();
@@ -68,13 +87,21 @@
     if (!entry) return failure(refuse('route-not-found'));
     const head = protocol.readRequest(request.headers);
     if (head.requestId === undefined) return failure(refuse('header-invalid'));
-    if (entry.route.access === 'open') {
-      return success({ policy: current, entry, head, account: undefined });
-    }
-    if (head.key === undefined) return failure(refuse('key-missing'));
-    const account = current.accountOfKey.get(head.key);
-    if (!account) return failure(refuse('key-unknown'));
-    return success({ policy: current, entry, head, account });
+    const account = authenticate(current, entry.route, head);
+    if (!account.ok) return account;
+    const isNested = request.socket.remoteAddress === options.address;
+    const parent = isNested ? findParent(entry.route, head) : undefined;
+    const level = options.levels()?.levelOf(account.value, entry.route) ?? 0;
+    const rank = parent?.rank ?? level;
+    return success({
+      policy: current,
+      entry,
+      head,
+      account: account.value,
+      isNested,
+      parent,
+      rank,
+    });
   };
 
   const connectionHeaders = (): string[] => (isStopping() ? ['Connection', 'close'] : []);
@@ -150,9 +177,10 @@
         route: route.name,
         service: entry.nextService(),
         account: account?.id,
+        payer: account?.id ?? accepted.parent?.payer,
         callerService,
-        rank: rankOf(accepted),
-        isNested: route.access === 'open',
+        rank: accepted.rank,
+        isNested: accepted.isNested,
         repeatable: route.repeatable,
         method: request.method as string,
         target: request.url as string,
@@ -170,7 +198,7 @@
     result: ForwardResult,
   ): Promise<number> => {
     const { answer } = result;
-    if (answer.kind === 'refusal') return reject(request, response, answer, rankOf(accepted));
+    if (answer.kind === 'refusal') return reject(request, response, answer, accepted.rank);
     const headers = callerHeaders(answer.headers);
     await writeAnswer(response, { ...answer, headers }, endHeaders(request));
     return answer.status;
@@ -201,7 +229,8 @@
       requestId: head.requestId,
       route: entry.route.name,
       account: account?.id,
-      rank: rankOf(accepted.value),
+      rank: accepted.value.rank,
+      parent: accepted.value.parent?.requestId,
       policyRevision: accepted.value.policy.revision,
       status,
       reason: answer.kind === 'refusal' ? answer.reason : undefined,
--- a/packages/sidecar/src/lib/entry/createForwarder.ts
+++ b/packages/sidecar/src/lib/entry/createForwarder.ts
@@ -1,8 +1,9 @@
 import type { Refusal } from '@buckthornslip/calls';
 import { refuse } from '@buckthornslip/calls';
-import type { Priority, RefusalReason } from '@buckthornslip/common';
+import type { RefusalReason } from '@buckthornslip/common';
 import type { Member } from '@buckthornslip/membership';
 
+import { priorityOfLevel } from '../policy/priorityOfLevel';
 import type { ServedAnswer, UpstreamAnswer } from '../serving/ServedAnswer';
 import type { CallProgress } from './createCallProgress';
 import { createCallProgress } from './createCallProgress';
@@ -23,8 +24,6 @@
 
 const SERVER_ERROR = 500;
 
-const PRIORITIES: readonly Priority[] = ['critical', 'high', 'normal', 'low'];
-
 /** Refusals of a serving node after which another node may serve the call. */
 const NODE_REASONS: ReadonlySet<RefusalReason> = new Set<RefusalReason>([
   'no-upstream',
@@ -107,7 +106,7 @@
       if (reason !== undefined) return progress.finish(refuse(reason));
       const chosen = await router.choose({
         service: call.service,
-        priority: PRIORITIES[Math.min(call.rank, PRIORITIES.length - 1)] as Priority,
+        priority: priorityOfLevel(call.rank),
         bodyBytes: undefined,
         excludedHosts: progress.excludedHosts,
       });
--- /dev/null
+++ b/packages/sidecar/src/lib/policy/createUrgencyLevels.ts
@@ -0,0 +1,49 @@
+import type { CallPolicy, PolicyAccount, PolicyRoute } from '@buckthornslip/config';
+import { priorityRank } from '@buckthornslip/common';
+
+/** Number of levels that admission and routing tell apart. */
+const LEVELS = Object.keys(priorityRank).length;
+
+/**
+ * Maps the ranks of accounts and routes to the levels of admission.
+ *
+ * @internal
+ */
+export interface UrgencyLevels {
+  /**
+   * @param account - Account of the call; undefined on open routes.
+   * @param route - Route of the call.
+   * @returns Level from 0, the most urgent.
+   */
+  readonly levelOf: (account: PolicyAccount | undefined, route: PolicyRoute) => number;
+}
+
+/** Sorts by the account's rank first, then by the route's. */
+const byRanks = (left: readonly [number, number], right: readonly [number, number]): number =>
+  left[0] - right[0] || left[1] - right[1];
+
+/**
+ * Creates the levels of a policy. The pairs of ranks that occur are spread over the levels in their order.
+ *
+ * @param policy - The policy.
+ * @returns The levels.
+ * @internal
+ */
+export function createUrgencyLevels(policy: CallPolicy): UrgencyLevels {
+  const accountRanks = [...new Set([...policy.accounts.values()].map(({ rank }) => rank))];
+  const keyed = policy.routes.filter(({ access }) => access === 'keyed');
+  const routeRanks = [...new Set(keyed.map(({ rank }) => rank))];
+  const pairs = accountRanks
+    .flatMap((account) => routeRanks.map((route) => [account, route] as const))
+    .sort(byRanks);
+  const levels = new Map(
+    pairs.map(([account, route], index) => [
+      `${account}/${route}`,
+      Math.floor((index * LEVELS) / Math.max(LEVELS, pairs.length)),
+    ]),
+  );
+  return {
+    levelOf: (account, route) =>
+      (account && levels.get(`${account.rank}/${route.rank}`)) ?? LEVELS - 1,
+  };
+}
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -20,8 +20,11 @@
 import { createPolicyFollower } from '../policy/createPolicyFollower';
 import type { RouteTable } from '../policy/createRouteTable';
 import { createRouteTable } from '../policy/createRouteTable';
+import type { UrgencyLevels } from '../policy/createUrgencyLevels';
+import { createUrgencyLevels } from '../policy/createUrgencyLevels';
 import { createLedgerLocator } from '../quota/createLedgerLocator';
 import { createLedgerPeers } from '../quota/createLedgerPeers';
+import { createRunningCalls } from '../serving/createRunningCalls';
 import { createServing } from '../serving/createServing';
 import { createUpstreamRegistry } from '../serving/createUpstreamRegistry';
 import type { UpstreamView } from '../serving/UpstreamRegistry';
@@ -80,6 +83,7 @@
   const links = createPeerLinks({ clock, logger, ticker, self: { host, incarnation } });
   let isStopping = false;
   let routes: RouteTable | undefined;
+  let levels: UrgencyLevels | undefined;
   let upstreamConnections = DEFAULT_UPSTREAM_CONNECTIONS;
   const upstreamAgents = createAgentPool(() => ({
     ...UPSTREAM_CONNECTIONS,
@@ -164,7 +168,16 @@
     linkBudget: () => linkBudget,
   });
   const connect = upstreamAgents.get;
-  const serving = createServing({ clock, admission, upstream, connect, protocol, logger });
+  const running = createRunningCalls();
+  const serving = createServing({
+    clock,
+    admission,
+    upstream,
+    connect,
+    protocol,
+    running,
+    logger,
+  });
   const entry = createEntry({
     clock,
     random,
@@ -173,6 +186,9 @@
     protocol,
     policy,
     routes: () => routes,
+    levels: () => levels,
+    running,
+    address: listeners.callers.slice(0, listeners.callers.lastIndexOf(':')),
     gate,
     router,
     retries: createRetryAllowance(() => options.retries),
@@ -186,6 +202,7 @@
   const callers = createCallerListener(logger, entry.handle);
   function applyPolicy(next: CallPolicy): void {
     routes = createRouteTable(next, random);
+    levels = createUrgencyLevels(next);
     upstreamConnections = next.services.get(service)?.connections ?? upstreamConnections;
     callers.apply(next.requestLimits);
   }
--- a/packages/sidecar/src/lib/serving/ServingCall.ts
+++ b/packages/sidecar/src/lib/serving/ServingCall.ts
@@ -13,10 +13,13 @@
   /** Name of the route; calls of one route do similar work. */
   readonly route: string;
   readonly service: ServiceId;
+  /** Account whose key came with the call; undefined on open routes. */
   readonly account: AccountId | undefined;
+  /** Account for whose sake the call runs: its own, or that of the call that it serves. */
+  readonly payer: AccountId | undefined;
   /** Service of the host where the request entered. */
   readonly callerService: ServiceId;
-  /** Importance; a smaller rank goes first. */
+  /** Level of urgency, 0 for the most urgent; a nested call has that of the call that it serves. */
   readonly rank: number;
   /** Whether the call serves another call that runs already. */
   readonly isNested: boolean;
--- a/packages/sidecar/src/lib/serving/createServing.ts
+++ b/packages/sidecar/src/lib/serving/createServing.ts
@@ -5,13 +5,15 @@
 } from '@buckthornslip/admission';
 import type { Refusal } from '@buckthornslip/calls';
 import { forwardableHeaders, refuse } from '@buckthornslip/calls';
-import type { Clock, Priority, RefusalReason } from '@buckthornslip/common';
+import type { Clock, RefusalReason } from '@buckthornslip/common';
 import type { EventLogger } from '@buckthornslip/telemetry';
 
 import type { ConnectionAgent } from '../http/ConnectionAgent';
 import { exchange } from '../http/exchange';
 import type { ExchangeFailure, ExchangeResult } from '../http/ExchangeResult';
+import { priorityOfLevel } from '../policy/priorityOfLevel';
 import type { CallProtocol } from '../protocol/CallProtocol';
+import type { RunningCalls } from './createRunningCalls';
 import type { ServedAnswer, UpstreamAnswer } from './ServedAnswer';
 import type { ServingCall } from './ServingCall';
 import type { UpstreamRegistry, UpstreamView } from './UpstreamRegistry';
@@ -24,6 +26,7 @@
   /** @returns Connections to the upstream at an address. */
   readonly connect: (address: string) => ConnectionAgent;
   readonly protocol: CallProtocol;
+  readonly running: RunningCalls;
   readonly logger: EventLogger;
 }
 
@@ -41,8 +44,6 @@
 /** Smallest status of a failure of the upstream. */
 const SERVER_ERROR = 500;
 
-const PRIORITIES: readonly Priority[] = ['critical', 'high', 'normal', 'low'];
-
 /** Hops that count for a nested call; its root has none. */
 const NESTED_DEPTH = 1;
 
@@ -66,7 +67,7 @@
  * @public
  */
 export function createServing(options: ServingOptions): Serving {
-  const { admission, connect, logger, protocol, upstream } = options;
+  const { admission, clock, connect, logger, protocol, running, upstream } = options;
 
   const refuseByState = (
     call: ServingCall,
@@ -141,6 +142,8 @@
       upstreamId,
       remainingMilliseconds,
     });
+    const now = clock.monotonicMilliseconds();
+    const endRunning = running.add(call, now, now + remainingMilliseconds);
     const result = await exchange({
       agent: connect(view.instance.address),
       method: call.method,
@@ -150,6 +153,7 @@
       scope: call.scope,
       isOwnAnswer: (response) => protocol.readAnswer(response.headers).requestId === requestId,
     });
+    endRunning();
     const answer = readResult(call, view, result);
     const outcome = ticketOutcome(result, answer);
     if (answer.kind === 'answer' && answer.rest)
@@ -172,8 +176,8 @@
     const refusal = refuseByState(call, upstream.current());
     if (refusal) return refusal;
     const request: AdmissionRequest = {
-      account: call.account,
-      priority: PRIORITIES[Math.min(call.rank, PRIORITIES.length - 1)] as Priority,
+      account: call.payer,
+      priority: priorityOfLevel(call.rank),
       depth: call.isNested ? NESTED_DEPTH : 0,
       remainingMilliseconds: call.scope.remainingMilliseconds(),
       isolated: false,
@@ -182,10 +186,10 @@
     const admitted =
       admission.admitAtOnce(request) ?? (await admission.admit(request, call.scope.signal));
     if (!admitted.ok) {
-      const { limit, queued, running } = admission.load();
+      const load = admission.load();
       const { requestId, rank } = call;
       const { kind: reason } = admitted.error;
-      logger.log('admissionRefused', { requestId, rank, reason, running, queued, limit });
+      logger.log('admissionRefused', { requestId, rank, reason, ...load });
       return refuse(reason);
     }
     // The state may have changed while the call waited.
