--- a/packages/limits/src/lib/ledger/createAccountLedger.ts
+++ b/packages/limits/src/lib/ledger/createAccountLedger.ts
@@ -4,6 +4,7 @@
 import type { AccountLedger, AccountLedgerOptions } from './AccountLedger';
 import type { AccountLine } from './createAccountLine';
 import { createAccountLine } from './createAccountLine';
+import { createGradualAllowance } from './createGradualAllowance';
 import { createTokenBucket } from './createTokenBucket';
 
 /** Time after a first start of the whole system in which no ledger can have moved, in milliseconds. */
@@ -30,7 +31,7 @@
   const lineOf = (account: AccountId): AccountLine => {
     const known = lines.get(account);
     if (known) return known;
-    const allowance = (): AccountAllowance => options.allowanceOf(account) ?? NOTHING;
+    const allowance = createGradualAllowance(clock, () => options.allowanceOf(account) ?? NOTHING);
     const age = clock.monotonicMilliseconds() - startedMilliseconds;
     const isUntouched = options.isFirstStart && age < FIRST_START_MILLISECONDS;
     const bucket = createTokenBucket(clock, allowance, isUntouched ? allowance().burst : 0);
