Start fewer calls of a kind at the entry while most of them fail; count silence from the first waiting message

Change: a throttle by route and level at the entry that follows the share of successes; silence counts from the first message that waits; nested calls without a known parent are urgent. Tests play the load against the throttle.

--- a/packages/sidecar/src/lib/channel/createPeerLink.test.ts
+++ b/packages/sidecar/src/lib/channel/createPeerLink.test.ts
@@ -190,6 +190,27 @@
   node.close();
 });
 
+// Guards against a connection that is given up as silent because it was idle before the call.
+void t.test('a call after an idle time keeps its connection', async (test) => {
+  const node = await startNode(FIRST, async () => {
+    await clock.sleep(300);
+    return answerOf('answer');
+  });
+  let connections = 0;
+  const relay = await createRelay(() => {
+    connections += 1;
+    return node.address;
+  });
+  const link = openLink(relay.address);
+  await link.call(callOf());
+  await clock.sleep(1_500);
+  await link.call(callOf());
+  test.equal(connections, 1);
+  link.close();
+  relay.close();
+  node.close();
+});
+
 // Guards against a statement that a call has not run although its process may have run it before it ended.
 void t.test('a process that has ended may have run its calls', async (test) => {
   let address = '';
--- a/packages/sidecar/src/lib/channel/createPeerLink.ts
+++ b/packages/sidecar/src/lib/channel/createPeerLink.ts
@@ -49,6 +49,7 @@
   let nextId = 1;
   let stopWatching: (() => void) | undefined;
   let isResuming = false;
+  let waitingSinceMilliseconds = 0;
 
   const connector = createLinkConnector(options, {
     onFrame: (frame) => dispatch(frame),
@@ -130,7 +131,8 @@
   }
 
   const checkSilence = ({ frames }: LinkConnection): void => {
-    const quiet = clock.monotonicMilliseconds() - frames.lastReceivedMilliseconds();
+    const since = Math.max(frames.lastReceivedMilliseconds(), waitingSinceMilliseconds);
+    const quiet = clock.monotonicMilliseconds() - since;
     if (quiet > channelTimes.silence) {
       options.logger.log('linkSilent', { address: options.address, milliseconds: quiet });
       frames.destroy();
@@ -147,6 +149,8 @@
   };
 
   const startWatching = (): void => {
+    // An idle connection has nothing to say; its silence counts from the first message that waits for an answer.
+    if (calls.size + messages.size === 1) waitingSinceMilliseconds = clock.monotonicMilliseconds();
     stopWatching ??= ticker.add(watch);
   };
 
--- a/packages/sidecar/src/lib/entry/createEntry.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.ts
@@ -12,6 +12,8 @@
 import type { ParentCall } from '../serving/createRunningCalls';
 import type { RequestHead } from '../protocol/RequestHead';
 import { createForwarder } from './createForwarder';
+import { createRouteThrottle } from './createRouteThrottle';
+import type { EntryCall } from './EntryCall';
 import type { EntryOptions } from './EntryOptions';
 import type { ForwardResult } from './ForwardResult';
 import { retryAfterOf } from './retryAfterOf';
@@ -27,6 +29,9 @@
 /** Longest time for a request that names neither a deadline nor a route with a timeout, in milliseconds. */
 const DEFAULT_TIMEOUT_MILLISECONDS = 30_000;
 
+/** Smallest status of a failure of an upstream. */
+const SERVER_ERROR = 500;
+
 /** A request that may go on. */
 interface Accepted {
   readonly policy: CallPolicy;
@@ -59,6 +64,7 @@
   const { callerService, clock, gate, isStopping, logger, metrics, policy, protocol, random } =
     options;
   const forwarder = createForwarder(options);
+  const throttle = createRouteThrottle(clock, random);
   let running = 0;
 
   const authenticate = (
@@ -92,7 +98,8 @@
     const isNested = request.socket.remoteAddress === options.address;
     const parent = isNested ? findParent(entry.route, head) : undefined;
     const level = options.levels()?.levelOf(account.value, entry.route) ?? 0;
-    const rank = parent?.rank ?? level;
+    // A nested call whose parent cannot be told may serve an urgent one, and work was done for it already.
+    const rank = isNested ? (parent?.rank ?? 0) : level;
     return success({
       policy: current,
       entry,
@@ -153,6 +160,22 @@
     return { ...refuse(reason), retryAfterMilliseconds };
   };
 
+  const kindOf = ({ entry, rank }: Accepted): string => `${entry.route.name}/${rank}`;
+
+  /** Nested calls are never held back here: work was done for them already. */
+  const forwardThrottled = async (accepted: Accepted, call: EntryCall): Promise<ForwardResult> => {
+    if (accepted.isNested) return forwarder.forward(call);
+    const started = throttle.start(kindOf(accepted));
+    if (!started) return { answer: refuse('priority-cutoff'), attempts: 0, host: undefined };
+    const result = await forwarder.forward(call);
+    const { answer } = result;
+    const isAnswered = answer.kind === 'answer';
+    if (isAnswered || answer.reason !== 'caller-gone') {
+      started.finish(isAnswered && answer.status < SERVER_ERROR);
+    }
+    return result;
+  };
+
   const run = async (
     request: IncomingMessage,
     response: ServerResponse,
@@ -169,7 +192,7 @@
     if (!body) return undefined;
     const refusal = await passGate(account?.id);
     if (refusal) return { answer: refusal, attempts: 0, host: undefined };
-    return forwarder.forward({
+    return forwardThrottled(accepted, {
       route,
       scope,
       call: {
@@ -224,7 +247,7 @@
     const { account, entry, head } = accepted.value;
     const { answer, attempts, host } = result;
     metrics.observeCall(entry.route.name, status, milliseconds);
-    const isGood = answer.kind === 'answer' && answer.status < 500;
+    const isGood = answer.kind === 'answer' && answer.status < SERVER_ERROR;
     logger.log(isGood ? 'callAnswered' : 'callFailedFinally', {
       requestId: head.requestId,
       route: entry.route.name,
--- /dev/null
+++ b/packages/sidecar/src/lib/entry/createRouteThrottle.test.ts
@@ -0,0 +1,64 @@
+import { createFakeClock, createSeededRandom } from '@buckthornslip/common';
+import t from 'tap';
+
+import { createRouteThrottle } from './createRouteThrottle';
+
+const SEED = 20_261_204;
+const CALL_MILLISECONDS = 300;
+
+/** Plays calls against services that finish a number of them a second and fail the others after some work. */
+async function play(perSecond: number, capacity: (second: number) => number, seconds: number) {
+  const clock = createFakeClock();
+  const throttle = createRouteThrottle(clock, createSeededRandom(SEED));
+  const bySecond = Array.from({ length: seconds }, () => ({ started: 0, served: 0 }));
+  const stepMilliseconds = 1_000 / perSecond;
+  let budget = 0;
+  for (let now = 0; now < seconds * 1_000; now += stepMilliseconds) {
+    const second = bySecond[Math.floor(now / 1_000)]!;
+    const limit = capacity(now / 1_000);
+    budget = Math.min(limit / 5, budget + limit / perSecond);
+    const call = throttle.start('kind');
+    if (call) {
+      second.started += 1;
+      const isServed = budget >= 1;
+      if (isServed) {
+        budget -= 1;
+        second.served += 1;
+      }
+      clock.setTimer(CALL_MILLISECONDS, () => call.finish(isServed));
+    }
+    await clock.advance(stepMilliseconds);
+  }
+  return bySecond;
+}
+
+const sum = (figures: readonly number[]): number => figures.reduce((total, one) => total + one, 0);
+
+// Guards against work that is started by the hundred at four times the capacity and thrown away at a deep service.
+void t.test('at four times the capacity little is started in vain', async (test) => {
+  const seconds = (await play(200, () => 50, 12)).slice(4);
+  const started = sum(seconds.map((one) => one.started));
+  const served = sum(seconds.map((one) => one.served));
+  test.ok(served >= 0.9 * 50 * seconds.length, `${served} served`);
+  test.ok(started <= 1.6 * served, `${started} started for ${served} served`);
+});
+
+// Guards against holding back calls of services that work well.
+void t.test('nothing is held back while calls succeed', async (test) => {
+  const seconds = await play(100, () => 200, 10);
+  const started = sum(seconds.map((one) => one.started));
+  test.ok(started >= 0.995 * 1_000, `${started} of 1000 started`);
+});
+
+// Guards against an overload that outlasts its cause.
+void t.test(
+  'all calls start again within five seconds after the capacity is back',
+  async (test) => {
+    const seconds = await play(100, (second) => (second < 6 ? 10 : 200), 14);
+    const after = seconds.slice(11);
+    test.ok(
+      after.every(({ served }) => served >= 95),
+      JSON.stringify(after),
+    );
+  },
+);
