Keep the concurrency limit at the announced slots where upstreams make calls of their own

Latency and failures of the upstreams' own calls lowered the limits of the services in front, down to a tenth of their slots, which made these calls slower and fail more. Change: an option of the admission controller; only shed calls then lower the limit.

--- a/packages/admission/src/lib/controller/AdmissionOptions.ts
+++ b/packages/admission/src/lib/controller/AdmissionOptions.ts
@@ -9,4 +9,6 @@
   readonly clock: Clock;
   /** Largest number of queued calls. */
   readonly queueCapacity?: number;
+  /** Whether latency and failures of calls move the concurrency limit; true if left out. */
+  readonly followsLatency?: boolean;
 }
--- a/packages/admission/src/lib/controller/createAdmissionController.test.ts
+++ b/packages/admission/src/lib/controller/createAdmissionController.test.ts
@@ -327,3 +327,32 @@
   );
   test.pass();
 });
+
+// Guards against an upstream that is throttled more and more because the services behind it are slow, and stays so.
+void t.test(
+  'without following latency, slow and failed calls leave the limit alone',
+  async (test) => {
+    const clock = createFakeClock();
+    const controller = createAdmissionController({ clock, followsLatency: false });
+    controller.setCapacity({
+      state: 'ready',
+      slots: 10,
+      coldStartMilliseconds: 0,
+      queueTargetMilliseconds: 400,
+    });
+    const run = async (milliseconds: number, outcome: 'completed' | 'failed' | 'shed') => {
+      const admitted = controller.admitAtOnce(requestOf({}));
+      if (!admitted?.ok) throw new Error('the call should start at once');
+      await clock.advance(milliseconds);
+      admitted.value.release(outcome);
+    };
+    for (let index = 0; index < 60; index += 1) await run(10, 'completed');
+    for (let index = 0; index < 60; index += 1)
+      await run(200, index % 2 === 0 ? 'failed' : 'completed');
+    test.equal(controller.load().limit, 10);
+    for (let index = 0; index < 120; index += 1) await run(20, 'shed');
+    test.ok(controller.load().limit < 5);
+    for (let index = 0; index < 400; index += 1) await run(20, 'completed');
+    test.equal(controller.load().limit, 10);
+  },
+);
--- a/packages/admission/src/lib/limit/createAdaptiveLimit.ts
+++ b/packages/admission/src/lib/limit/createAdaptiveLimit.ts
@@ -57,10 +57,12 @@
  * another reason, a lower limit would only lose throughput, and the earlier limit comes back.
  *
  * @param clock - Source of time.
+ * @param followsLatency - Whether latency and failures move the limit. They say nothing about the load of an upstream that
+ *   waits for calls of its own: these may be slow or fail for reasons elsewhere. Shed calls always move the limit.
  * @returns A limit of zero until slots are announced.
  * @internal
  */
-export function createAdaptiveLimit(clock: Clock): AdaptiveLimit {
+export function createAdaptiveLimit(clock: Clock, followsLatency = true): AdaptiveLimit {
   const now = clock.monotonicMilliseconds;
   const ceiling = createColdStartCeiling(now);
   const baseline = createLatencyBaseline();
@@ -103,7 +105,7 @@
 
   const lowerForErrors = (summary: WindowSummary): boolean => {
     if (summary.shedShare > SHED_SHARE) lower(ERROR_FACTOR);
-    else if (summary.failedShare > FAILED_SHARE)
+    else if (followsLatency && summary.failedShare > FAILED_SHARE)
       lower(ERROR_FACTOR, ceiling.slots() * FAILED_FLOOR_SHARE);
     else return false;
     return true;
@@ -122,7 +124,11 @@
     const { meanMilliseconds, elapsedMilliseconds } = summary;
     if (trial) {
       endTrial(trial, meanMilliseconds);
-    } else if (!lowerForErrors(summary) && meanMilliseconds !== undefined) {
+    } else if (lowerForErrors(summary)) {
+      // The limit grows again once the upstream sheds nothing.
+    } else if (!followsLatency) {
+      limit = Math.min(ceiling.slots(), limit * GROWTH_FACTOR + 1);
+    } else if (meanMilliseconds !== undefined) {
       baseline.follow(meanMilliseconds, elapsedMilliseconds);
       adjustToLatency(meanMilliseconds);
     }
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -78,7 +78,8 @@
   const { clock, host, incarnation, listeners, logger, protocol, random } = options;
   const { region, service, store, zone } = options;
   const metrics = createSidecarMetrics();
-  const admission = createAdmissionController({ clock });
+  // Upstreams wait for calls of their own while they hold a slot, so that their latency says little about their load.
+  const admission = createAdmissionController({ clock, followsLatency: false });
   const ticker = createTicker(clock, channelTimes.check);
   const links = createPeerLinks({ clock, logger, ticker, self: { host, incarnation } });
   let isStopping = false;
