Do not starve a service whose upstreams shed at random

From second 13 the upstreams of invoicing turn away more than half of their requests at any load, and the limit fell to a tenth of the slots, also for requests that would have been served. Change: shed calls alone lower the limit to half of the slots.

--- a/packages/admission/src/lib/limit/createAdaptiveLimit.ts
+++ b/packages/admission/src/lib/limit/createAdaptiveLimit.ts
@@ -104,7 +104,9 @@
   };
 
   const lowerForErrors = (summary: WindowSummary): boolean => {
-    if (summary.shedShare > SHED_SHARE) lower(ERROR_FACTOR);
+    // Without a sign from latency, shed calls may have causes other than load, such as a faulty upstream.
+    const shedFloor = followsLatency ? floor() : ceiling.slots() * FAILED_FLOOR_SHARE;
+    if (summary.shedShare > SHED_SHARE) lower(ERROR_FACTOR, shedFloor);
     else if (followsLatency && summary.failedShare > FAILED_SHARE)
       lower(ERROR_FACTOR, ceiling.slots() * FAILED_FLOOR_SHARE);
     else return false;
