Tell calls of the upstream from those of callers by their missing key

All calls counted as nested, so that the throttle held nothing back and levels were those of other calls or the highest. Change: a call without a key on an open route is taken for a nested one. Test: createEntry.test.ts, which failed before.

--- a/packages/sidecar/src/lib/entry/EntryOptions.ts
+++ b/packages/sidecar/src/lib/entry/EntryOptions.ts
@@ -29,8 +29,6 @@
   readonly levels: () => UrgencyLevels | undefined;
   /** Calls that the own upstream runs, which its own calls serve. */
   readonly running: RunningCalls;
-  /** Address of this host, from which the own upstream's calls come. */
-  readonly address: string;
   readonly gate: AccountGate;
   readonly router: Router;
   readonly retries: RetryAllowance;
--- /dev/null
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -0,0 +1,191 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { createServer, request as httpRequest } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+import { refuse } from '@buckthornslip/calls';
+import type { AccountId, HostId, Incarnation, ServiceId } from '@buckthornslip/common';
+import { createSeededRandom, createSystemClock, failure, success } from '@buckthornslip/common';
+import type { CallPolicy, PolicyRoute } from '@buckthornslip/config';
+import type { Member } from '@buckthornslip/membership';
+import { createSilentLogger } from '@buckthornslip/telemetry';
+import t from 'tap';
+
+import { createRouteTable } from '../policy/createRouteTable';
+import { createUrgencyLevels } from '../policy/createUrgencyLevels';
+import { createSidecarMetrics } from '../process/createSidecarMetrics';
+import { createRunningCalls } from '../serving/createRunningCalls';
+import type { ServingCall } from '../serving/ServingCall';
+import { createEntry } from './createEntry';
+import { createRetryAllowance } from './createRetryAllowance';
+import type { EntryOptions } from './EntryOptions';
+
+const clock = createSystemClock();
+const SERVICE = 'service' as ServiceId;
+const HOST = 'host' as HostId;
+
+const route = (changed: Partial<PolicyRoute>): PolicyRoute => ({
+  name: 'read',
+  host: 'calls.example',
+  pathPrefix: '/read/',
+  access: 'keyed',
+  repeatable: true,
+  timeoutMilliseconds: 1_000,
+  latencyObjectiveMilliseconds: undefined,
+  rank: 2,
+  targets: [{ service: SERVICE, weight: 1 }],
+  maximumUpstreams: 2,
+  ...changed,
+});
+
+function createPolicy(): CallPolicy {
+  const routes = [
+    route({}),
+    route({ name: 'confirm', pathPrefix: '/confirm/', rank: 0 }),
+    route({ name: 'inner', pathPrefix: '/inner/', access: 'open' }),
+  ];
+  const urgent = { id: 'urgent' as AccountId, rank: 0, ratePerSecond: 0, burst: 0 };
+  const other = { id: 'other' as AccountId, rank: 1, ratePerSecond: 0, burst: 0 };
+  return {
+    revision: 1,
+    routes,
+    services: new Map(),
+    accounts: new Map([urgent, other].map((account) => [account.id, account])),
+    accountOfKey: new Map([
+      ['urgent-key', urgent],
+      ['other-key', other],
+    ]),
+    requestLimits: { headBytes: 0, bodyBytes: 0, headMilliseconds: 0, idleMilliseconds: 0 },
+  };
+}
+
+async function startEntry(serve: EntryOptions['serving']['serve']) {
+  const policy = createPolicy();
+  const random = createSeededRandom(1);
+  const running = createRunningCalls();
+  const entry = createEntry({
+    clock,
+    random,
+    logger: createSilentLogger(),
+    metrics: createSidecarMetrics(),
+    protocol: {
+      readRequest: ({ id, key, timeout }) => ({
+        requestId: String(id),
+        key: typeof key === 'string' ? key : undefined,
+        timeoutMilliseconds: timeout === undefined ? undefined : Number(timeout),
+      }),
+      readAnswer: () => ({ requestId: undefined, isNotRun: false, isSigned: true }),
+      writeUpstreamHeaders: () => [],
+      reservedNames: new Set(['key']),
+      answerOnlyNames: new Set(),
+    },
+    policy: {
+      current: () => policy,
+      currentBytes: () => undefined,
+      offer: () => undefined,
+      start: () => undefined,
+      close: () => undefined,
+    },
+    routes: () => createRouteTable(policy, random),
+    levels: () => createUrgencyLevels(policy),
+    running,
+    gate: { enter: () => undefined },
+    router: {
+      choose: async ({ excludedHosts }) => {
+        if (excludedHosts.has(HOST)) return failure({ kind: 'no-upstream' });
+        return success({ host: HOST, incarnation: 1 as Incarnation, peerAddress: '' } as Member);
+      },
+      report: () => undefined,
+    },
+    retries: createRetryAllowance(() => ({ ratio: 0, saved: 0 })),
+    serving: { serve },
+    host: HOST,
+    callerService: SERVICE,
+    links: {
+      get: () => {
+        throw new Error('no other node is there');
+      },
+      close: () => undefined,
+    },
+    isStopping: () => false,
+  });
+  const server = createServer((request: IncomingMessage, response: ServerResponse) => {
+    void entry.handle(request, response);
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const send = (path: string, headers: Readonly<Record<string, string>>): Promise<number> =>
+    new Promise((resolve, reject) => {
+      const request = httpRequest(
+        { host: '127.0.0.1', port, path, headers: { Host: 'calls.example', id: 'r', ...headers } },
+        (response) => {
+          response.resume();
+          resolve(response.statusCode as number);
+        },
+      );
+      request.on('error', reject);
+      request.end();
+    });
+  const close = (): void => {
+    server.close();
+    server.closeAllConnections();
+  };
+  return { send, running, close };
+}
+
+const answered = (body = 'ok') =>
+  ({
+    answer: { kind: 'answer', status: 200, headers: [], body: Buffer.from(body), rest: undefined },
+    load: undefined,
+  }) as const;
+
+// Guards against callers of this host that are taken for its upstream, and so get the urgency of other calls.
+void t.test('levels follow account and route; only calls without a key inherit', async (test) => {
+  const seen: ServingCall[] = [];
+  const { close, running, send } = await startEntry(async (call) => {
+    seen.push(call);
+    return answered();
+  });
+  const now = clock.monotonicMilliseconds();
+  const payer = 'payer' as AccountId;
+  running.add({ requestId: 'parent', rank: 2, payer }, now, now + 500);
+  await send('/confirm/1', { key: 'urgent-key', timeout: '500' });
+  await send('/read/1', { key: 'urgent-key', timeout: '500' });
+  await send('/confirm/1', { key: 'other-key', timeout: '500' });
+  await send('/read/1', { key: 'other-key', timeout: '500' });
+  test.same(
+    seen.map(({ rank, isNested }) => ({ rank, isNested })),
+    [0, 1, 2, 3].map((rank) => ({ rank, isNested: false })),
+  );
+  const left = Math.round(now + 500 - clock.monotonicMilliseconds());
+  await send('/inner/1', { timeout: String(left) });
+  test.match(seen[4], { rank: 2, payer: 'payer', account: undefined, isNested: true });
+  await send('/inner/1', { timeout: '9000' });
+  test.match(seen[5], { rank: 0, payer: undefined, isNested: true });
+  close();
+});
+
+// Guards against calls of callers that are started by the hundred while nearly all of them fail.
+void t.test(
+  'calls of a kind that fails are held back, others and nested ones are not',
+  async (test) => {
+    let runs = 0;
+    const { close, send } = await startEntry(async (call) => {
+      if (call.route !== 'read') return answered();
+      runs += 1;
+      return { answer: refuse('queue-timeout'), load: undefined };
+    });
+    const startedMilliseconds = clock.monotonicMilliseconds();
+    let sent = 0;
+    while (clock.monotonicMilliseconds() - startedMilliseconds < 1_500) {
+      await send('/read/1', { key: 'other-key' });
+      sent += 1;
+      await clock.sleep(2);
+    }
+    test.ok(runs < sent / 2, `${runs} of ${sent} started`);
+    test.equal(await send('/confirm/1', { key: 'other-key' }), 200);
+    test.equal(await send('/inner/1', {}), 200);
+    close();
+  },
+);
--- a/packages/sidecar/src/lib/entry/createEntry.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.ts
@@ -39,7 +39,7 @@
   readonly head: RequestHead;
   /** Undefined on open routes. */
   readonly account: PolicyAccount | undefined;
-  /** Whether the request comes from the upstream beside this node. */
+  /** Whether the request seems to come from the upstream beside this node. */
   readonly isNested: boolean;
   /** Call that a nested request serves, if it can be told. */
   readonly parent: ParentCall | undefined;
@@ -95,7 +95,8 @@
     if (head.requestId === undefined) return failure(refuse('header-invalid'));
     const account = authenticate(current, entry.route, head);
     if (!account.ok) return account;
-    const isNested = request.socket.remoteAddress === options.address;
+    // Callers and the upstream connect from one address. An upstream sends no key, and callers hardly use open routes.
+    const isNested = entry.route.access === 'open' && head.key === undefined;
     const parent = isNested ? findParent(entry.route, head) : undefined;
     const level = options.levels()?.levelOf(account.value, entry.route) ?? 0;
     // A nested call whose parent cannot be told may serve an urgent one, and work was done for it already.
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -189,7 +189,6 @@
     routes: () => routes,
     levels: () => levels,
     running,
-    address: listeners.callers.slice(0, listeners.callers.lastIndexOf(':')),
     gate,
     router,
     retries: createRetryAllowance(() => options.retries),
