--- /dev/null
+++ b/packages/sidecar/src/lib/entry/writeRefusal.test.ts
@@ -0,0 +1,26 @@
+import { refuse } from '@buckthornslip/calls';
+import type { Outcome, RefusalReason } from '@buckthornslip/common';
+import { refusalCatalogue } from '@buckthornslip/common';
+import t from 'tap';
+
+import { statusOf } from './writeRefusal';
+
+/** Statuses by which a caller may conclude that the request has not run and never will. */
+const PROMISES = [408, 421, 429, 503];
+
+// Guards against a caller that sends a confirmation again because it was told, wrongly, that it had not run.
+void t.test('no status promises "not run" for a request that may have run', async (test) => {
+  const reasons = Object.keys(refusalCatalogue) as RefusalReason[];
+  const outcomes: readonly Outcome[] = ['may-have-run', 'ran'];
+  const statuses = reasons.flatMap((reason) =>
+    outcomes.map((outcome) => statusOf(refuse(reason, outcome))),
+  );
+  test.notOk(statuses.some((status) => PROMISES.includes(status)));
+});
+
+// Guards against a caller that gives up a request which it could send again without harm.
+void t.test('a request that has not run may be sent again', async (test) => {
+  test.equal(statusOf(refuse('peer-unreachable', 'not-run')), 503);
+  test.equal(statusOf(refuse('queue-timeout', 'not-run')), 503);
+  test.equal(statusOf(refuse('account-rate', 'not-run')), 429);
+});
