--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -76,3 +76,4 @@
 export { refuse } from './lib/http/refuse';
 export { loadHeader } from './lib/serving/loadHeader';
 export { parseLoadHeader } from './lib/serving/parseLoadHeader';
+export { splitAddress } from './lib/http/splitAddress';
--- a/packages/sidecar/src/index.ts
+++ b/packages/sidecar/src/index.ts
@@ -17,3 +17,4 @@
 export type { UpstreamRegistry, UpstreamView } from './lib/serving/UpstreamRegistry';
 export { createConnectionAgent } from './lib/http/createConnectionAgent';
 export { exchange } from './lib/http/exchange';
+export { listenAt } from './lib/http/listenAt';
--- a/packages/sidecar/src/lib/channel/createLinkConnector.ts
+++ b/packages/sidecar/src/lib/channel/createLinkConnector.ts
@@ -1,6 +1,8 @@
 import type { Socket } from 'node:net';
 import { connect as connectSocket } from 'node:net';
 
+import { splitAddress } from '@buckthornslip/calls';
+
 import { channelTimes } from './channelTimes';
 import { createFrameConnection } from './createFrameConnection';
 import type { FrameConnection } from './FrameConnection';
@@ -30,11 +32,7 @@
 }
 
 function openSocket(address: string): Socket {
-  const separator = address.lastIndexOf(':');
-  return connectSocket({
-    host: address.slice(0, separator),
-    port: Number(address.slice(separator + 1)),
-  });
+  return connectSocket(splitAddress(address));
 }
 
 /**
--- a/packages/sidecar/src/lib/channel/createPeerListener.ts
+++ b/packages/sidecar/src/lib/channel/createPeerListener.ts
@@ -4,6 +4,7 @@
 import type { AccountId, Clock, NodeIdentity } from '@buckthornslip/common';
 import type { channelMessages } from '@buckthornslip/wire';
 
+import { listenAt } from '../http/listenAt';
 import { createFrameConnection } from './createFrameConnection';
 import type { FrameConnection } from './FrameConnection';
 import type { PeerSession } from './createPeerSession';
@@ -84,17 +85,7 @@
 
   const server = createServer({ noDelay: true }, accept);
   return {
-    listen: (address) =>
-      new Promise((resolve, reject) => {
-        const separator = address.lastIndexOf(':');
-        const host = address.slice(0, separator);
-        const port = Number(address.slice(separator + 1));
-        server.once('error', reject);
-        server.listen({ host, port, backlog: 1_024 }, () => {
-          server.off('error', reject);
-          resolve();
-        });
-      }),
+    listen: (address) => listenAt(server, address),
     close: () => {
       server.close();
       sockets.forEach((socket) => socket.destroy());
--- a/packages/sidecar/src/lib/entry/createEntry.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.ts
@@ -2,16 +2,17 @@
 
 import type { Refusal } from '@buckthornslip/calls';
 import { createCallScope, forwardableHeaders, refuse } from '@buckthornslip/calls';
-import type { AccountId, Result } from '@buckthornslip/common';
-import { failure, success } from '@buckthornslip/common';
-import type { CallPolicy, PolicyAccount, PolicyRoute } from '@buckthornslip/config';
+import type { AccountId } from '@buckthornslip/common';
+import type { PolicyRoute } from '@buckthornslip/config';
 
+import { DEFAULT_TIMEOUT_MILLISECONDS } from './DEFAULT_TIMEOUT_MILLISECONDS';
 import { readRequestBody } from '../http/readRequestBody';
+import { withoutHeaders } from '../http/withoutHeaders';
 import { writeAnswer } from '../http/writeAnswer';
-import type { RouteEntry } from '../policy/createRouteTable';
-import type { ParentCall } from '../serving/createRunningCalls';
 import type { RequestHead } from '../protocol/RequestHead';
 import { createForwarder } from './createForwarder';
+import type { AcceptedRequest } from './AcceptedRequest';
+import { createRequestAcceptor } from './createRequestAcceptor';
 import { createRouteThrottle } from './createRouteThrottle';
 import type { EntryCall } from './EntryCall';
 import type { EntryOptions } from './EntryOptions';
@@ -26,26 +27,9 @@
   readonly inProgress: () => number;
 }
 
-/** Longest time for a request that names neither a deadline nor a route with a timeout, in milliseconds. */
-const DEFAULT_TIMEOUT_MILLISECONDS = 30_000;
-
 /** Smallest status of a failure of an upstream. */
 const SERVER_ERROR = 500;
 
-/** A request that may go on. */
-interface Accepted {
-  readonly policy: CallPolicy;
-  readonly entry: RouteEntry;
-  readonly head: RequestHead;
-  /** Undefined on open routes. */
-  readonly account: PolicyAccount | undefined;
-  /** Whether the request seems to come from the upstream beside this node. */
-  readonly isNested: boolean;
-  /** Call that a nested request serves, if it can be told. */
-  readonly parent: ParentCall | undefined;
-  readonly rank: number;
-}
-
 function timeoutOf(head: RequestHead, route: PolicyRoute): number {
   return Math.min(
     head.timeoutMilliseconds ?? DEFAULT_TIMEOUT_MILLISECONDS,
@@ -63,55 +47,11 @@
 export function createEntry(options: EntryOptions): Entry {
   const { callerService, clock, gate, isStopping, logger, metrics, policy, protocol, random } =
     options;
+  const acceptor = createRequestAcceptor(options);
   const forwarder = createForwarder(options);
   const throttle = createRouteThrottle(clock, random);
   let running = 0;
 
-  const authenticate = (
-    current: CallPolicy,
-    { access }: PolicyRoute,
-    { key }: RequestHead,
-  ): Result<PolicyAccount | undefined, Refusal> => {
-    if (access === 'open') return success(undefined);
-    if (key === undefined) return failure(refuse('key-missing'));
-    const account = current.accountOfKey.get(key);
-    return account ? success(account) : failure(refuse('key-unknown'));
-  };
-
-  const findParent = (route: PolicyRoute, head: RequestHead): ParentCall | undefined =>
-    options.running.findParent({
-      route: route.name,
-      nowMilliseconds: clock.monotonicMilliseconds(),
-      remainingMilliseconds: head.timeoutMilliseconds ?? DEFAULT_TIMEOUT_MILLISECONDS,
-    });
-
-  const accept = (request: IncomingMessage): Result<Accepted, Refusal> => {
-    const current = policy.current();
-    const routes = options.routes();
-    if (!current || !routes) return failure(refuse('configuration-missing'));
-    const entry = routes.match(request.headers.host ?? '', request.url ?? '');
-    if (!entry) return failure(refuse('route-not-found'));
-    const head = protocol.readRequest(request.headers);
-    if (head.requestId === undefined) return failure(refuse('header-invalid'));
-    const account = authenticate(current, entry.route, head);
-    if (!account.ok) return account;
-    // Callers and the upstream connect from one address. An upstream sends no key, and callers hardly use open routes.
-    const isNested = entry.route.access === 'open' && head.key === undefined;
-    const parent = isNested ? findParent(entry.route, head) : undefined;
-    const level = options.levels()?.levelOf(account.value, entry.route) ?? 0;
-    // A nested call whose parent cannot be told may serve an urgent one, and work was done for it already.
-    const rank = isNested ? (parent?.rank ?? 0) : level;
-    return success({
-      policy: current,
-      entry,
-      head,
-      account: account.value,
-      isNested,
-      parent,
-      rank,
-    });
-  };
-
   const connectionHeaders = (): string[] => (isStopping() ? ['Connection', 'close'] : []);
 
   const endHeaders = (request: IncomingMessage): string[] => {
@@ -120,27 +60,6 @@
     return connectionHeaders();
   };
 
-  const withoutReserved = (raw: readonly string[]): string[] => {
-    const kept: string[] = [];
-    for (let index = 0; index < raw.length; index += 2) {
-      const name = raw[index] as string;
-      if (!protocol.reservedNames.has(name.toLowerCase()))
-        kept.push(name, raw[index + 1] as string);
-    }
-    return kept;
-  };
-
-  const callerHeaders = (raw: readonly string[]): string[] => {
-    const kept: string[] = [];
-    for (let index = 0; index < raw.length; index += 2) {
-      const name = raw[index] as string;
-      if (!protocol.answerOnlyNames.has(name.toLowerCase())) {
-        kept.push(name, raw[index + 1] as string);
-      }
-    }
-    return kept;
-  };
-
   const reject = (
     request: IncomingMessage,
     response: ServerResponse,
@@ -161,10 +80,13 @@
     return { ...refuse(reason), retryAfterMilliseconds };
   };
 
-  const kindOf = ({ entry, rank }: Accepted): string => `${entry.route.name}/${rank}`;
+  const kindOf = ({ entry, rank }: AcceptedRequest): string => `${entry.route.name}/${rank}`;
 
   /** Nested calls are never held back here: work was done for them already. */
-  const forwardThrottled = async (accepted: Accepted, call: EntryCall): Promise<ForwardResult> => {
+  const forwardThrottled = async (
+    accepted: AcceptedRequest,
+    call: EntryCall,
+  ): Promise<ForwardResult> => {
     if (accepted.isNested) return forwarder.forward(call);
     const started = throttle.start(kindOf(accepted));
     if (!started) return { answer: refuse('priority-cutoff'), attempts: 0, host: undefined };
@@ -180,7 +102,7 @@
   const run = async (
     request: IncomingMessage,
     response: ServerResponse,
-    accepted: Accepted,
+    accepted: AcceptedRequest,
   ): Promise<ForwardResult | undefined> => {
     const { account, entry, head } = accepted;
     const { route } = entry;
@@ -208,7 +130,7 @@
         repeatable: route.repeatable,
         method: request.method as string,
         target: request.url as string,
-        headers: withoutReserved(forwardableHeaders(request.rawHeaders)),
+        headers: withoutHeaders(forwardableHeaders(request.rawHeaders), protocol.reservedNames),
         body,
         scope,
       },
@@ -218,19 +140,19 @@
   const finish = async (
     request: IncomingMessage,
     response: ServerResponse,
-    accepted: Accepted,
+    accepted: AcceptedRequest,
     result: ForwardResult,
   ): Promise<number> => {
     const { answer } = result;
     if (answer.kind === 'refusal') return reject(request, response, answer, accepted.rank);
-    const headers = callerHeaders(answer.headers);
+    const headers = withoutHeaders(answer.headers, protocol.answerOnlyNames);
     await writeAnswer(response, { ...answer, headers }, endHeaders(request));
     return answer.status;
   };
 
   const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const arrivedMilliseconds = clock.monotonicMilliseconds();
-    const accepted = accept(request);
+    const accepted = acceptor.accept(request);
     if (!accepted.ok) {
       const status = reject(request, response, accepted.error, 0);
       logger.log('callRejected', {
--- /dev/null
+++ b/packages/sidecar/src/lib/entry/createRequestAcceptor.ts
@@ -0,0 +1,76 @@
+import type { IncomingMessage } from 'node:http';
+
+import type { Refusal } from '@buckthornslip/calls';
+import { refuse } from '@buckthornslip/calls';
+import type { Result } from '@buckthornslip/common';
+import { failure, success } from '@buckthornslip/common';
+import type { CallPolicy, PolicyAccount, PolicyRoute } from '@buckthornslip/config';
+
+import type { RequestHead } from '../protocol/RequestHead';
+import type { ParentCall } from '../serving/createRunningCalls';
+import type { AcceptedRequest } from './AcceptedRequest';
+import { DEFAULT_TIMEOUT_MILLISECONDS } from './DEFAULT_TIMEOUT_MILLISECONDS';
+import type { EntryOptions } from './EntryOptions';
+
+/** Decides by the policy in force whether a request may go on. */
+export interface RequestAcceptor {
+  readonly accept: (request: IncomingMessage) => Result<AcceptedRequest, Refusal>;
+}
+
+/**
+ * Creates the acceptor of an entry: route, key, and the urgency of the call.
+ *
+ * @param options - What the entry side works with.
+ * @returns The acceptor.
+ * @internal
+ */
+export function createRequestAcceptor(options: EntryOptions): RequestAcceptor {
+  const { clock, policy, protocol } = options;
+
+  const authenticate = (
+    current: CallPolicy,
+    { access }: PolicyRoute,
+    { key }: RequestHead,
+  ): Result<PolicyAccount | undefined, Refusal> => {
+    if (access === 'open') return success(undefined);
+    if (key === undefined) return failure(refuse('key-missing'));
+    const account = current.accountOfKey.get(key);
+    return account ? success(account) : failure(refuse('key-unknown'));
+  };
+
+  const findParent = (route: PolicyRoute, head: RequestHead): ParentCall | undefined =>
+    options.running.findParent({
+      route: route.name,
+      nowMilliseconds: clock.monotonicMilliseconds(),
+      remainingMilliseconds: head.timeoutMilliseconds ?? DEFAULT_TIMEOUT_MILLISECONDS,
+    });
+
+  const accept = (request: IncomingMessage): Result<AcceptedRequest, Refusal> => {
+    const current = policy.current();
+    const routes = options.routes();
+    if (!current || !routes) return failure(refuse('configuration-missing'));
+    const entry = routes.match(request.headers.host ?? '', request.url ?? '');
+    if (!entry) return failure(refuse('route-not-found'));
+    const head = protocol.readRequest(request.headers);
+    if (head.requestId === undefined) return failure(refuse('header-invalid'));
+    const account = authenticate(current, entry.route, head);
+    if (!account.ok) return account;
+    // Callers and the upstream connect from one address. An upstream sends no key, and callers hardly use open routes.
+    const isNested = entry.route.access === 'open' && head.key === undefined;
+    const parent = isNested ? findParent(entry.route, head) : undefined;
+    const level = options.levels()?.levelOf(account.value, entry.route) ?? 0;
+    // A nested call whose parent cannot be told may serve an urgent one, and work was done for it already.
+    const rank = isNested ? (parent?.rank ?? 0) : level;
+    return success({
+      policy: current,
+      entry,
+      head,
+      account: account.value,
+      isNested,
+      parent,
+      rank,
+    });
+  };
+
+  return { accept };
+}
--- a/packages/sidecar/src/lib/http/createConnectionAgent.ts
+++ b/packages/sidecar/src/lib/http/createConnectionAgent.ts
@@ -1,6 +1,8 @@
 import { Agent } from 'node:http';
 import type { Socket } from 'node:net';
 
+import { splitAddress } from '@buckthornslip/calls';
+
 import type { ConnectionAgent } from './ConnectionAgent';
 
 /** What the connections to one address are made from. */
@@ -37,7 +39,6 @@
  */
 export function createConnectionAgent(options: ConnectionAgentOptions): ConnectionAgent {
   const { address, connectMilliseconds, idleMilliseconds, maximumConnections } = options;
-  const separator = address.lastIndexOf(':');
   const agent = new Agent({
     keepAlive: true,
     maxSockets: maximumConnections,
@@ -66,8 +67,7 @@
   };
   return {
     agent,
-    host: address.slice(0, separator),
-    port: Number(address.slice(separator + 1)),
+    ...splitAddress(address),
     connectMilliseconds,
     close: () => agent.destroy(),
   };
--- a/packages/sidecar/src/lib/process/createCallerListener.ts
+++ b/packages/sidecar/src/lib/process/createCallerListener.ts
@@ -4,6 +4,8 @@
 import type { RequestLimits } from '@buckthornslip/config';
 import type { EventLogger } from '@buckthornslip/telemetry';
 
+import { listenAt } from '../http/listenAt';
+
 /** Listener for callers and for the upstream's own calls. */
 export interface CallerListener {
   readonly server: Server;
@@ -17,9 +19,6 @@
 /** Callers may use a connection until just before the idle time; it is closed later than that, in milliseconds. */
 const IDLE_MARGIN_MILLISECONDS = 2_000;
 
-/** Connections that may wait to be accepted. */
-const BACKLOG = 1_024;
-
 type Handler = (request: IncomingMessage, response: ServerResponse) => Promise<void>;
 
 /**
@@ -46,17 +45,7 @@
   );
   return {
     server,
-    listen: (address) =>
-      new Promise((resolve, reject) => {
-        const separator = address.lastIndexOf(':');
-        const host = address.slice(0, separator);
-        const port = Number(address.slice(separator + 1));
-        server.once('error', reject);
-        server.listen({ host, port, backlog: BACKLOG }, () => {
-          server.off('error', reject);
-          resolve();
-        });
-      }),
+    listen: (address) => listenAt(server, address),
     apply: ({ headMilliseconds, idleMilliseconds }) => {
       server.keepAliveTimeout = idleMilliseconds + IDLE_MARGIN_MILLISECONDS;
       // The time is counted from the accept; a slow caller gets some more.
