Let the throttle of a kind with few calls recover

A node has about 8 calls a second of a kind; at the smallest share the ten results that a window needed took 25 seconds. Change: a window also ends after a second; faster growth; no reduction below three failures. Test: 'a kind with few calls recovers as fast' failed before.

--- a/packages/sidecar/src/lib/entry/createRouteThrottle.test.ts
+++ b/packages/sidecar/src/lib/entry/createRouteThrottle.test.ts
@@ -62,3 +62,15 @@
     );
   },
 );
+
+// Guards against a node with few calls of a kind that holds them back long after the services have recovered.
+void t.test('a kind with few calls recovers as fast', async (test) => {
+  const seconds = await play(8, (second) => (second < 6 ? 0 : 200), 16);
+  const before = sum(seconds.slice(3, 6).map(({ started }) => started));
+  const after = seconds.slice(12);
+  test.ok(before <= 16, `${before} of 24 started in vain`);
+  test.ok(
+    after.every(({ served }) => served >= 7),
+    JSON.stringify(seconds),
+  );
+});
--- a/packages/sidecar/src/lib/entry/createRouteThrottle.ts
+++ b/packages/sidecar/src/lib/entry/createRouteThrottle.ts
@@ -3,9 +3,15 @@
 /** Time after which the results of a window are judged, in milliseconds. */
 const WINDOW_MILLISECONDS = 250;
 
-/** Results without which a window is not judged. */
+/** Results after which a window is judged as soon as it is over. */
 const FEWEST_RESULTS = 10;
 
+/** Time after which a window is judged with fewer results, in milliseconds: a kind may have few calls at one node. */
+const LONGEST_WINDOW_MILLISECONDS = 1_000;
+
+/** Failures without which the share is not reduced. */
+const FEWEST_FAILURES = 3;
+
 /** Share of successes below which fewer calls are started: so much work in vain is worse than fewer calls. */
 const POOR_SHARE = 0.75;
 
@@ -19,11 +25,11 @@
 const SURPLUS_FACTOR = 1.15;
 
 /** Growth of the share in one good window. */
-const GROWTH_FACTOR = 1.15;
-const GROWTH_STEP = 0.02;
+const GROWTH_FACTOR = 1.3;
+const GROWTH_STEP = 0.05;
 
 /** Share of the calls of a kind that is always let through, so that a recovery is noticed. */
-const SMALLEST_SHARE = 0.05;
+const SMALLEST_SHARE = 0.1;
 
 /** A call that was let through. */
 export interface StartedCall {
@@ -56,28 +62,38 @@
   let successes = 0;
   let windowStart = clock.monotonicMilliseconds();
 
+  const startWindow = (): void => {
+    results = 0;
+    successes = 0;
+    windowStart = clock.monotonicMilliseconds();
+  };
+
   const judge = (): void => {
-    const good = successes / results;
-    if (good < POOR_SHARE) {
+    const good = results === 0 ? 1 : successes / results;
+    if (good < POOR_SHARE && results - successes >= FEWEST_FAILURES) {
       share = Math.max(SMALLEST_SHARE, share * Math.max(STEEPEST_FACTOR, good * SURPLUS_FACTOR));
       // Calls that were started at the larger share say nothing about the smaller one.
       epoch += 1;
     } else if (good >= GOOD_SHARE) share = Math.min(1, share * GROWTH_FACTOR + GROWTH_STEP);
-    results = 0;
-    successes = 0;
-    windowStart = clock.monotonicMilliseconds();
+    startWindow();
+  };
+
+  const judgeIfOver = (): void => {
+    const elapsed = clock.monotonicMilliseconds() - windowStart;
+    const isFull = elapsed >= WINDOW_MILLISECONDS && results >= FEWEST_RESULTS;
+    if (isFull || elapsed >= LONGEST_WINDOW_MILLISECONDS) judge();
   };
 
   const finish = (startedEpoch: number, isSuccess: boolean): void => {
     if (startedEpoch !== epoch) return;
     results += 1;
     if (isSuccess) successes += 1;
-    const isOver = clock.monotonicMilliseconds() - windowStart >= WINDOW_MILLISECONDS;
-    if (isOver && results >= FEWEST_RESULTS) judge();
+    judgeIfOver();
   };
 
   return {
     start: () => {
+      judgeIfOver();
       if (share < 1 && random.next() >= share) return undefined;
       const startedEpoch = epoch;
       return { finish: (isSuccess) => finish(startedEpoch, isSuccess) };
