--- a/packages/sidecar/src/lib/channel/FrameConnection.ts
+++ b/packages/sidecar/src/lib/channel/FrameConnection.ts
@@ -12,6 +12,5 @@
   readonly lastReceivedMilliseconds: () => number;
   /** @returns Bytes that the network has not taken yet. */
   readonly pendingBytes: () => number;
-  readonly isOpen: () => boolean;
   readonly destroy: () => void;
 }
--- a/packages/sidecar/src/lib/channel/createFrameConnection.ts
+++ b/packages/sidecar/src/lib/channel/createFrameConnection.ts
@@ -46,7 +46,6 @@
     },
     lastReceivedMilliseconds: () => lastReceivedMilliseconds,
     pendingBytes: () => socket.writableLength,
-    isOpen: () => isOpen,
     destroy: () => {
       socket.destroy();
       end();
--- a/packages/sidecar/src/lib/directory/MemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/MemberDirectory.ts
@@ -1,4 +1,3 @@
-import type { HostId } from '@buckthornslip/common';
 import type { Member, Membership } from '@buckthornslip/membership';
 
 import type { DirectoryMessage } from './DirectoryMessage';
@@ -21,7 +20,6 @@
   readonly update: (change: SelfChange) => void;
   /** @returns All other nodes that are believed to run. */
   readonly livePeers: () => readonly Member[];
-  readonly find: (host: HostId) => Member | undefined;
   /** @returns What this node tells others. */
   readonly describe: () => DirectoryMessage;
   /** Takes in a message of another node. */
--- a/packages/sidecar/src/lib/directory/createMemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/createMemberDirectory.ts
@@ -218,7 +218,6 @@
       announceToAll();
     },
     livePeers,
-    find: table.get,
     describe: () => message(false),
     receive: (received) => {
       takeIn(received);
