Test the entry with the fake clock

The deadline of a nested call is matched within 4 ms, and on the real clock more than that could pass between the choice of the timeout and its arrival. The test advances a fake clock instead; the checks are the same.

--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -4,7 +4,7 @@
 
 import { refuse } from '@buckthornslip/calls';
 import type { AccountId, HostId, Incarnation, ServiceId } from '@buckthornslip/common';
-import { createSeededRandom, createSystemClock, failure, success } from '@buckthornslip/common';
+import { createFakeClock, createSeededRandom, failure, success } from '@buckthornslip/common';
 import type { CallPolicy, PolicyRoute } from '@buckthornslip/config';
 import type { Member } from '@buckthornslip/membership';
 import { createSilentLogger } from '@buckthornslip/telemetry';
@@ -19,7 +19,6 @@
 import { createRetryAllowance } from './createRetryAllowance';
 import type { EntryOptions } from './EntryOptions';
 
-const clock = createSystemClock();
 const SERVICE = 'service' as ServiceId;
 const HOST = 'host' as HostId;
 
@@ -59,6 +58,7 @@
 }
 
 async function startEntry(serve: EntryOptions['serving']['serve']) {
+  const clock = createFakeClock();
   const policy = createPolicy();
   const random = createSeededRandom(1);
   const running = createRunningCalls();
@@ -131,7 +131,7 @@
     server.close();
     server.closeAllConnections();
   };
-  return { send, running, close };
+  return { clock, send, running, close };
 }
 
 const answered = (body = 'ok') =>
@@ -143,7 +143,7 @@
 // Guards against callers of this host that are taken for its upstream, and so get the urgency of other calls.
 void t.test('levels follow account and route; only calls without a key inherit', async (test) => {
   const seen: ServingCall[] = [];
-  const { close, running, send } = await startEntry(async (call) => {
+  const { clock, close, running, send } = await startEntry(async (call) => {
     seen.push(call);
     return answered();
   });
@@ -158,8 +158,8 @@
     seen.map(({ rank, isNested }) => ({ rank, isNested })),
     [0, 1, 2, 3].map((rank) => ({ rank, isNested: false })),
   );
-  const left = Math.round(now + 500 - clock.monotonicMilliseconds());
-  await send('/inner/1', { timeout: String(left) });
+  await clock.advance(100);
+  await send('/inner/1', { timeout: '400' });
   test.match(seen[4], { rank: 2, payer: 'payer', account: undefined, isNested: true });
   await send('/inner/1', { timeout: '9000' });
   test.match(seen[5], { rank: 0, payer: undefined, isNested: true });
@@ -171,7 +171,7 @@
   'calls of a kind that fails are held back, others and nested ones are not',
   async (test) => {
     let runs = 0;
-    const { close, send } = await startEntry(async (call) => {
+    const { clock, close, send } = await startEntry(async (call) => {
       if (call.route !== 'read') return answered();
       runs += 1;
       return { answer: refuse('queue-timeout'), load: undefined };
@@ -181,7 +181,7 @@
     while (clock.monotonicMilliseconds() - startedMilliseconds < 1_500) {
       await send('/read/1', { key: 'other-key' });
       sent += 1;
-      await clock.sleep(2);
+      await clock.advance(2);
     }
     test.ok(runs < sent / 2, `${runs} of ${sent} started`);
     test.equal(await send('/confirm/1', { key: 'other-key' }), 200);
