Publish the call address of zone contacts

Cause of the failure of repeatedRequest.test.ts, traced with a line for each lost connection: a node of another region that knows the bound host as a zone contact only had a record with an empty address for calls, and connected to port 80 of its own host. The contact's value in the store now holds the address for calls. A test in packages/membership failed without it.

--- a/packages/membership/src/lib/contacts/formatContact.ts
+++ b/packages/membership/src/lib/contacts/formatContact.ts
@@ -6,6 +6,6 @@
  * @internal
  */
 export function formatContact(record: MemberRecord): string {
-  const { host, incarnation, region, zone, controlAddress } = record;
-  return JSON.stringify({ host, incarnation, region, zone, controlAddress });
+  const { host, incarnation, region, zone, peerAddress, controlAddress } = record;
+  return JSON.stringify({ host, incarnation, region, zone, peerAddress, controlAddress });
 }
--- a/packages/membership/src/lib/contacts/parseContact.ts
+++ b/packages/membership/src/lib/contacts/parseContact.ts
@@ -8,6 +8,7 @@
   incarnation: z.number(),
   region: z.string(),
   zone: z.string(),
+  peerAddress: z.string().min(1),
   controlAddress: z.string().min(1),
 });
 
@@ -30,7 +31,7 @@
 export function parseContact(text: string): MemberRecord | undefined {
   const parsed = contactSchema.safeParse(parseJson(text));
   if (!parsed.success) return undefined;
-  const { host, incarnation, region, zone, controlAddress } = parsed.data;
+  const { host, incarnation, region, zone, peerAddress, controlAddress } = parsed.data;
   return {
     host: host as HostId,
     incarnation: incarnation as Incarnation,
@@ -38,7 +39,7 @@
     service: undefined,
     region: region as RegionId,
     zone: zone as ZoneId,
-    peerAddress: '',
+    peerAddress,
     controlAddress,
     slots: 0,
     connections: 0,
--- a/packages/membership/src/lib/node/createMembership.test.ts
+++ b/packages/membership/src/lib/node/createMembership.test.ts
@@ -210,3 +210,22 @@
   test.ok(strangers.length <= 3, 'only contacts of other services are known');
   test.ok(hosts.every((host) => caller.findHost(host as HostId)));
 });
+
+// Guards against a resumed call that is sent to an empty address: a node may know the bound host as a contact only.
+void t.test('a host known as a zone contact only has its address for calls', async (test) => {
+  const { clock, fleet, nodes } = startService(7, 4);
+  await clock.advance(6_000);
+  const contacts = nodes().filter((node) => node.isContact());
+  const caller = fleet.start('caller', 'riga-1');
+  const known = new Set<string>();
+  for (let step = 0; step < 100; step += 1) {
+    await clock.advance(50);
+    for (const contact of contacts) {
+      const { host, peerAddress } = contact.self();
+      const found = caller.findHost(host);
+      if (found) known.add(host);
+      test.equal((found ?? contact.self()).peerAddress, peerAddress, host);
+    }
+  }
+  test.equal(known.size, contacts.length);
+});
