Look for nodes that have left in good order as well

Cause: each round a node looks for one dead node, so that one that restarted while the store was away is found again.

--- a/packages/sidecar/src/lib/directory/createMemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/createMemberDirectory.ts
@@ -178,8 +178,9 @@
       rounds += 1;
       const live = pick(livePeers());
       if (live) void announceTo(live);
-      // A node that has restarted while the store was away knows nobody; those who knew it find it again.
-      const dead = pick(others().filter(({ alive, state }) => !alive && state !== 'left'));
+      // A node that has restarted while the store was away knows nobody; those who knew it find it again. It may have
+      // left in good order before.
+      const dead = pick(others().filter(({ alive, state }) => !alive || state === 'left'));
       if (dead) void announceTo(dead);
       if (rounds % Math.round(directoryTimes.reading / directoryTimes.comparison) === 0) {
         void readStore();
