Keep scarce retries for calls of parents that are nearly done

Cause: while upstreams reject a share of all calls, a parent with four nested calls is hardly ever served, and the retries that the ratio allows were spent alike on first and last calls. The entry now counts the calls that were finished for a parent and keeps a part of the savings for those with more of them.

--- a/packages/sidecar/src/lib/entry/AcceptedRequest.ts
+++ b/packages/sidecar/src/lib/entry/AcceptedRequest.ts
@@ -2,7 +2,7 @@
 
 import type { RouteEntry } from '../policy/createRouteTable';
 import type { RequestHead } from '../protocol/RequestHead';
-import type { ParentCall } from '../serving/createRunningCalls';
+import type { RunningParent } from '../serving/createRunningCalls';
 
 /**
  * A request that may go on.
@@ -18,7 +18,7 @@
   /** Whether the request seems to come from the upstream beside this node. */
   readonly isNested: boolean;
   /** Call that a nested request serves, if it can be told. */
-  readonly parent: ParentCall | undefined;
+  readonly parent: RunningParent | undefined;
   /** Level of urgency, 0 for the most urgent. */
   readonly rank: number;
 }
--- a/packages/sidecar/src/lib/entry/EntryCall.ts
+++ b/packages/sidecar/src/lib/entry/EntryCall.ts
@@ -13,4 +13,6 @@
   /** The call as a serving node gets it. */
   readonly call: ServingCall;
   readonly scope: CallScope;
+  /** Calls that have already been finished for the call that this one serves; 0 for a call of a caller. */
+  readonly finishedSiblings: number;
 }
--- a/packages/sidecar/src/lib/entry/createEntry.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.ts
@@ -30,6 +30,10 @@
 /** Smallest status of a failure of an upstream. */
 const SERVER_ERROR = 500;
 
+function isSuccess(answer: ForwardResult['answer']): boolean {
+  return answer.kind === 'answer' && answer.status < SERVER_ERROR;
+}
+
 function timeoutOf(head: RequestHead, route: PolicyRoute): number {
   return Math.min(
     head.timeoutMilliseconds ?? DEFAULT_TIMEOUT_MILLISECONDS,
@@ -82,19 +86,27 @@
 
   const kindOf = ({ entry, rank }: AcceptedRequest): string => `${entry.route.name}/${rank}`;
 
+  const forwardNested = async (
+    { parent }: AcceptedRequest,
+    call: EntryCall,
+  ): Promise<ForwardResult> => {
+    const result = await forwarder.forward(call);
+    if (isSuccess(result.answer)) parent?.noteFinishedCall();
+    return result;
+  };
+
   /** Nested calls are never held back here: work was done for them already. */
   const forwardThrottled = async (
     accepted: AcceptedRequest,
     call: EntryCall,
   ): Promise<ForwardResult> => {
-    if (accepted.isNested) return forwarder.forward(call);
+    if (accepted.isNested) return forwardNested(accepted, call);
     const started = throttle.start(kindOf(accepted));
     if (!started) return { answer: refuse('priority-cutoff'), attempts: 0, host: undefined };
     const result = await forwarder.forward(call);
     const { answer } = result;
-    const isAnswered = answer.kind === 'answer';
-    if (isAnswered || answer.reason !== 'caller-gone') {
-      started.finish(isAnswered && answer.status < SERVER_ERROR);
+    if (answer.kind === 'answer' || answer.reason !== 'caller-gone') {
+      started.finish(isSuccess(answer));
     }
     return result;
   };
@@ -118,6 +130,7 @@
     return forwardThrottled(accepted, {
       route,
       scope,
+      finishedSiblings: accepted.parent?.finishedCalls() ?? 0,
       call: {
         requestId: head.requestId as string,
         route: route.name,
@@ -170,8 +183,7 @@
     const { account, entry, head } = accepted.value;
     const { answer, attempts, host } = result;
     metrics.observeCall(entry.route.name, status, milliseconds);
-    const isGood = answer.kind === 'answer' && answer.status < SERVER_ERROR;
-    logger.log(isGood ? 'callAnswered' : 'callFailedFinally', {
+    logger.log(isSuccess(answer) ? 'callAnswered' : 'callFailedFinally', {
       requestId: head.requestId,
       route: entry.route.name,
       account: account?.id,
--- a/packages/sidecar/src/lib/entry/createForwarder.ts
+++ b/packages/sidecar/src/lib/entry/createForwarder.ts
@@ -87,10 +87,10 @@
     return NODE_REASONS.has(answer.reason);
   };
 
-  const takeRetry = ({ call }: EntryCall, progress: CallProgress): boolean => {
+  const takeRetry = ({ call, finishedSiblings }: EntryCall, progress: CallProgress): boolean => {
     // A call that no upstream has seen adds no arrival there.
     if (progress.offers() === 0) return true;
-    const isTaken = retries.take(call.service);
+    const isTaken = retries.take(call.service, finishedSiblings);
     const reason = progress.outcome() === 'not-run' ? 'retried-not-run' : 'retried-repeatable';
     metrics.countRetry(isTaken ? reason : 'denied-service-ratio');
     return isTaken;
--- a/packages/sidecar/src/lib/entry/createRequestAcceptor.ts
+++ b/packages/sidecar/src/lib/entry/createRequestAcceptor.ts
@@ -7,7 +7,7 @@
 import type { CallPolicy, PolicyAccount, PolicyRoute } from '@buckthornslip/config';
 
 import type { RequestHead } from '../protocol/RequestHead';
-import type { ParentCall } from '../serving/createRunningCalls';
+import type { RunningParent } from '../serving/createRunningCalls';
 import type { AcceptedRequest } from './AcceptedRequest';
 import { DEFAULT_TIMEOUT_MILLISECONDS } from './DEFAULT_TIMEOUT_MILLISECONDS';
 import type { EntryOptions } from './EntryOptions';
@@ -38,7 +38,7 @@
     return account ? success(account) : failure(refuse('key-unknown'));
   };
 
-  const findParent = (route: PolicyRoute, head: RequestHead): ParentCall | undefined =>
+  const findParent = (route: PolicyRoute, head: RequestHead): RunningParent | undefined =>
     options.running.findParent({
       route: route.name,
       nowMilliseconds: clock.monotonicMilliseconds(),
--- a/packages/sidecar/src/lib/serving/createRunningCalls.ts
+++ b/packages/sidecar/src/lib/serving/createRunningCalls.ts
@@ -3,6 +3,13 @@
 /** What a nested call takes over from the call that it serves. */
 export type ParentCall = Pick<ServingCall, 'requestId' | 'rank' | 'payer'>;
 
+/** A call that the upstream runs, as the calls that serve it see it. */
+export interface RunningParent extends ParentCall {
+  /** @returns Nested calls that have been answered for it. */
+  readonly finishedCalls: () => number;
+  readonly noteFinishedCall: () => void;
+}
+
 /** A call that the upstream makes while it runs others. */
 export interface NestedCall {
   readonly route: string;
@@ -29,7 +36,7 @@
     deadlineMilliseconds: number,
   ) => () => void;
   /** @returns The call that a nested call serves; undefined if it cannot be told. */
-  readonly findParent: (nested: NestedCall) => ParentCall | undefined;
+  readonly findParent: (nested: NestedCall) => RunningParent | undefined;
 }
 
 /** Largest difference between the deadlines of a call and of the call that it serves, in milliseconds. */
@@ -39,11 +46,25 @@
 const START_TOLERANCE_MILLISECONDS = 12;
 
 interface RunningCall {
-  readonly call: ParentCall;
+  readonly call: RunningParent;
   readonly startedMilliseconds: number;
   readonly deadlineMilliseconds: number;
 }
 
+function createRunningParent(call: ParentCall): RunningParent {
+  const { payer, rank, requestId } = call;
+  let finished = 0;
+  return {
+    requestId,
+    rank,
+    payer,
+    finishedCalls: () => finished,
+    noteFinishedCall: () => {
+      finished += 1;
+    },
+  };
+}
+
 /**
  * Creates the list of running calls. An upstream passes no sign of a call on to the calls that serve it but their
  * deadline: that of the call itself, or the time that calls of their kind get, counted from the start of the call.
@@ -58,7 +79,7 @@
   const nearest = (
     differenceOf: (entry: RunningCall) => number,
     tolerance: number,
-  ): ParentCall | undefined => {
+  ): RunningParent | undefined => {
     let found: RunningCall | undefined;
     let smallest = tolerance;
     running.forEach((entry) => {
@@ -79,7 +100,7 @@
 
   return {
     add: (call, startedMilliseconds, deadlineMilliseconds) => {
-      const entry = { call, startedMilliseconds, deadlineMilliseconds };
+      const entry = { call: createRunningParent(call), startedMilliseconds, deadlineMilliseconds };
       running.add(entry);
       return () => running.delete(entry);
     },
