Read the nodes once a change instead of once a token request

Each token request listed, sorted and joined all nodes, and each request of a caller counted the live ones, which grows with the fleet. The locator and the list of live nodes are now kept until the directory's revision changes. The new tests count the readings and check that nodes with equal views agree on the keepers and that few ledgers move.

--- a/packages/sidecar/src/lib/directory/MemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/MemberDirectory.ts
@@ -20,6 +20,8 @@
   readonly update: (change: SelfChange) => void;
   /** @returns All other nodes that are believed to run. */
   readonly livePeers: () => readonly Member[];
+  /** @returns A number that grows with each change of a node's record or liveness, the own one included. */
+  readonly revision: () => number;
   /** @returns What this node tells others. */
   readonly describe: () => DirectoryMessage;
   /** Takes in a message of another node. */
--- a/packages/sidecar/src/lib/directory/createMemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/createMemberDirectory.ts
@@ -11,6 +11,7 @@
 import { directoryTimes } from './directoryTimes';
 import type { MemberDirectory } from './MemberDirectory';
 import { parseMember } from './parseMember';
+import { rememberByRevision } from './rememberByRevision';
 
 /** What the directory works with. */
 export interface MemberDirectoryOptions {
@@ -62,7 +63,7 @@
 
   const isSelf = ({ host }: Member): boolean => host === self.host;
   const others = (): Member[] => table.all().filter((member) => !isSelf(member));
-  const livePeers = (): Member[] => others().filter(({ alive }) => alive);
+  const livePeers = rememberByRevision(table.revision, () => others().filter(({ alive }) => alive));
 
   const message = (withMembers: boolean): DirectoryMessage => ({
     from: self,
@@ -219,6 +220,7 @@
       announceToAll();
     },
     livePeers,
+    revision: table.revision,
     describe: () => message(false),
     receive: (received) => {
       takeIn(received);
--- a/packages/sidecar/src/lib/directory/createMemberTable.ts
+++ b/packages/sidecar/src/lib/directory/createMemberTable.ts
@@ -16,6 +16,8 @@
   readonly merge: (member: Member) => boolean;
   readonly setAlive: (host: HostId, alive: boolean) => void;
   readonly remove: (host: HostId) => void;
+  /** @returns A number that grows with each change of the table. */
+  readonly revision: () => number;
   /** @returns A short text that is equal for equal tables. */
   readonly digest: () => string;
 }
@@ -35,6 +37,7 @@
   const members = new Map<HostId, Member>();
   const subjects = new Map<ServiceId, Subject<readonly Member[]>>();
   let digest: string | undefined;
+  let revision = 0;
 
   const ofService = (service: ServiceId): readonly Member[] =>
     [...members.values()].filter((member) => member.service === service);
@@ -47,6 +50,7 @@
     const previous = members.get(member.host)?.service;
     members.set(member.host, member);
     digest = undefined;
+    revision += 1;
     emit(member.service);
     if (previous !== member.service) emit(previous);
   };
@@ -82,8 +86,10 @@
       const known = members.get(host);
       members.delete(host);
       digest = undefined;
+      revision += 1;
       emit(known?.service);
     },
+    revision: () => revision,
     digest: () => {
       digest ??= computeDigest();
       return digest;
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -44,11 +44,6 @@
 /** Longest wait of a call in the queue of its upstream, in milliseconds. */
 const QUEUE_TARGET_MILLISECONDS = 400;
 
-const mayKeepLedgers = ({ alive, state }: Member): boolean => alive && state !== 'left';
-
-/** Order in which all nodes list the candidates, so that equal views are equal texts. */
-const byHost = (left: Member, right: Member): number => (left.host < right.host ? -1 : 1);
-
 function initialMember(options: SidecarOptions): Member {
   const { host, incarnation, listeners, region, zone } = options;
   return {
@@ -148,9 +143,7 @@
 
   const allowanceOf = (account: AccountId) => policy.current()?.accounts.get(account);
   const ledger = createAccountLedger(clock, { allowanceOf, isFirstStart: options.isFirstStart });
-  const locator = createLedgerLocator(() =>
-    [...directory.livePeers(), directory.self()].filter(mayKeepLedgers).sort(byHost),
-  );
+  const locator = createLedgerLocator(directory);
   const { suspect } = directory;
   const gate = createAccountGate({
     clock,
--- /dev/null
+++ b/packages/sidecar/src/lib/quota/createLedgerLocator.test.ts
@@ -0,0 +1,56 @@
+import type { AccountId, HostId } from '@buckthornslip/common';
+import type { Member } from '@buckthornslip/membership';
+import t from 'tap';
+
+import { createLedgerLocator } from './createLedgerLocator';
+
+const member = (host: string, changed: Partial<Member> = {}): Member =>
+  ({ host: host as HostId, incarnation: 1, alive: true, state: 'ready', ...changed }) as Member;
+
+function createView(members: readonly Member[]) {
+  const [self, ...peers] = members as [Member, ...Member[]];
+  let revision = 1;
+  let live: readonly Member[] = peers;
+  let readings = 0;
+  const locator = createLedgerLocator({
+    self: () => self,
+    revision: () => revision,
+    livePeers: () => {
+      readings += 1;
+      return live;
+    },
+  });
+  const setPeers = (next: readonly Member[]): void => {
+    live = next;
+    revision += 1;
+  };
+  return { locator, setPeers, readings: () => readings };
+}
+
+const ACCOUNTS = Array.from({ length: 50 }, (_, index) => `account-${index}` as AccountId);
+
+// Guards against two nodes that ask different keepers because they list the others in different orders.
+void t.test('nodes with the same view agree, and few ledgers move', async (test) => {
+  const members = ['a', 'b', 'c', 'd'].map((host) => member(host));
+  const one = createView(members);
+  const other = createView([...members].reverse());
+  const keeperOf = (view: typeof one) => (account: AccountId) => view.locator.locate(account)?.host;
+  const before = ACCOUNTS.map(keeperOf(one));
+  test.same(before, ACCOUNTS.map(keeperOf(other)));
+  one.setPeers(members.slice(1, 3));
+  const after = ACCOUNTS.map(keeperOf(one));
+  const moved = after.filter((host, index) => host !== before[index]);
+  test.equal(moved.length, before.filter((host) => host === 'd').length);
+  test.notOk(after.some((host) => host === 'd'));
+});
+
+// Guards against a cost of each token request that grows with the number of nodes.
+void t.test('the nodes are read once for each change', async (test) => {
+  const view = createView([member('a'), member('b'), member('c', { state: 'left' })]);
+  ACCOUNTS.forEach((account) => view.locator.locate(account));
+  ACCOUNTS.forEach((account) => test.not(view.locator.locate(account)?.host, 'c'));
+  test.equal(view.readings(), 1);
+  view.setPeers([]);
+  test.equal(view.locator.locate(ACCOUNTS[0] as AccountId)?.host, 'a');
+  test.equal(view.readings(), 2);
+});
--- a/packages/sidecar/src/lib/quota/createLedgerLocator.ts
+++ b/packages/sidecar/src/lib/quota/createLedgerLocator.ts
@@ -2,6 +2,9 @@
 import { rankMembers } from '@buckthornslip/leases';
 import type { Member } from '@buckthornslip/membership';
 
+import type { MemberDirectory } from '../directory/MemberDirectory';
+import { rememberByRevision } from '../directory/rememberByRevision';
+
 /**
  * Finds the node that keeps the ledger of an account.
  *
@@ -11,27 +14,28 @@
   readonly locate: (account: AccountId) => Member | undefined;
 }
 
+const mayKeepLedgers = ({ alive, state }: Member): boolean => alive && state !== 'left';
+
 /**
  * Places ledgers by rendezvous hashing over the nodes that run, so that nodes with the same view agree and few ledgers
  * move when a node comes or goes.
  *
- * @param candidates - All nodes that may keep a ledger.
+ * @param directory - All nodes.
  * @returns The locator.
  * @internal
  */
-export function createLedgerLocator(candidates: () => readonly Member[]): LedgerLocator {
-  const located = new Map<AccountId, Member | undefined>();
-  let view = '';
+export function createLedgerLocator(
+  directory: Pick<MemberDirectory, 'livePeers' | 'revision' | 'self'>,
+): LedgerLocator {
+  const view = rememberByRevision(directory.revision, () => ({
+    keepers: [...directory.livePeers(), directory.self()].filter(mayKeepLedgers),
+    located: new Map<AccountId, Member | undefined>(),
+  }));
   return {
     locate: (account) => {
-      const members = candidates();
-      const current = members.map(({ host, incarnation }) => `${host}/${incarnation}`).join();
-      if (current !== view) {
-        located.clear();
-        view = current;
-      }
+      const { keepers, located } = view();
       if (!located.has(account)) {
-        const [first] = rankMembers(`ledger/${account}` as PartitionId, members);
+        const [first] = rankMembers(`ledger/${account}` as PartitionId, keepers);
         located.set(account, first);
       }
       return located.get(account);
