Prefer urgent calls for scarce retries

Cause: with the preference for parents that are nearly done alone, less urgent parents took as many retries as urgent ones. The savings now keep a part for more urgent calls.

--- a/packages/sidecar/src/lib/entry/createForwarder.ts
+++ b/packages/sidecar/src/lib/entry/createForwarder.ts
@@ -90,7 +90,7 @@
   const takeRetry = ({ call, finishedSiblings }: EntryCall, progress: CallProgress): boolean => {
     // A call that no upstream has seen adds no arrival there.
     if (progress.offers() === 0) return true;
-    const isTaken = retries.take(call.service, finishedSiblings);
+    const isTaken = retries.take(call.service, { rank: call.rank, finishedSiblings });
     const reason = progress.outcome() === 'not-run' ? 'retried-not-run' : 'retried-repeatable';
     metrics.countRetry(isTaken ? reason : 'denied-service-ratio');
     return isTaken;
--- a/packages/sidecar/src/lib/entry/createRetryAllowance.ts
+++ b/packages/sidecar/src/lib/entry/createRetryAllowance.ts
@@ -1,14 +1,22 @@
 import type { ServiceId } from '@buckthornslip/common';
 
+/** What speaks for the retry of a call. */
+export interface RetryClaim {
+  /** Level of urgency, 0 for the most urgent. */
+  readonly rank: number;
+  /** Calls that have already been finished for the same parent. A retry saves their work too. */
+  readonly finishedSiblings: number;
+}
+
 /** Bound on retries that a service may get from this node. */
 export interface RetryAllowance {
   readonly countFirstAttempt: (service: ServiceId) => void;
   /**
    * @param service - Service of the call.
-   * @param finishedSiblings - Calls that have already been finished for the same parent. A retry saves their work too.
+   * @param claim - What speaks for the retry when there are too few.
    * @returns Whether one more attempt may be sent to an upstream of the service.
    */
-  readonly take: (service: ServiceId, finishedSiblings: number) => boolean;
+  readonly take: (service: ServiceId, claim: RetryClaim) => boolean;
 }
 
 /** How many retries are allowed. */
@@ -20,12 +28,24 @@
 }
 
 /** Share of the savings that is kept for calls with more finished siblings, by the number of finished siblings. */
-const RESERVED_SHARES: readonly number[] = [0.6, 0.5, 0.25];
+const RESERVED_BY_SIBLINGS: readonly number[] = [0.6, 0.5, 0.25];
+
+/** Share of the savings that is kept for more urgent calls, by the level of urgency. */
+const RESERVED_BY_RANK: readonly number[] = [0, 0.3, 0.6];
+
+/** Share that is kept from the least urgent calls: only full savings are more than one retry above it. */
+const LARGEST_RESERVED_SHARE = 0.6;
+
+function reservedShare({ finishedSiblings, rank }: RetryClaim): number {
+  const forSiblings = RESERVED_BY_SIBLINGS[finishedSiblings] ?? 0;
+  const forUrgent = RESERVED_BY_RANK[rank] ?? LARGEST_RESERVED_SHARE;
+  return Math.max(forSiblings, forUrgent);
+}
 
 /**
  * Creates the bound on retries. Each node repeats in proportion to its own first attempts, which keeps the ratio of the
  * whole fleet without a message between nodes. It answers to upstreams that reject a share of all calls: a parent with several
- * nested calls then fails unless each of them gets through, so that scarce retries go to the parents that are nearly done.
+ * nested calls then fails unless each of them gets through, so that scarce retries go to urgent calls and to parents that are nearly done.
  *
  * @param settings - Ratio and savings.
  * @returns The allowance.
@@ -38,11 +58,10 @@
       const { ratio, saved } = settings();
       tokens.set(service, Math.min(saved, (tokens.get(service) ?? saved) + ratio));
     },
-    take: (service, finishedSiblings) => {
+    take: (service, claim) => {
       const { saved } = settings();
       const left = tokens.get(service) ?? saved;
-      const reserved = saved * (RESERVED_SHARES[finishedSiblings] ?? 0);
-      if (left < 1 + reserved) return false;
+      if (left < 1 + saved * reservedShare(claim)) return false;
       tokens.set(service, left - 1);
       return true;
     },
