Renumber the own record when earlier ones look newer

Cause: a node's incarnation is its wall-clock time at its start. A node that left, had its clock set back and started again wrote records that all others took for older than the one that says that it had left, so that it got no calls until it was forgotten. A node that is told of a higher incarnation of itself now takes the next one. The new test of the directory failed before.

--- a/packages/sidecar/src/lib/directory/createMemberDirectory.test.ts
+++ b/packages/sidecar/src/lib/directory/createMemberDirectory.test.ts
@@ -38,10 +38,9 @@
   const directories = new Map<string, MemberDirectory>();
   let incarnation = 0;
 
-  const start = (host: string): MemberDirectory => {
-    incarnation += 1;
+  const start = (host: string, ownIncarnation = (incarnation += 1)): MemberDirectory => {
     const directory = createMemberDirectory({
-      self: createMember(host, incarnation),
+      self: createMember(host, ownIncarnation),
       clock,
       random,
       store,
@@ -75,7 +74,7 @@
 // Guards against nodes that start at the same time and miss each other's records.
 void t.test('nodes that start together know each other within a second', async (test) => {
   const fleet = createFleet(1);
-  HOSTS.forEach(fleet.start);
+  HOSTS.forEach((host) => fleet.start(host));
   await fleet.clock.advance(1_000);
   HOSTS.forEach((host) => test.same(fleet.usable(host), HOSTS, host));
 });
@@ -84,7 +83,7 @@
 void t.test('nodes that start while the store is away meet when it is back', async (test) => {
   const fleet = createFleet(2);
   fleet.store.faults.setDown(true);
-  HOSTS.forEach(fleet.start);
+  HOSTS.forEach((host) => fleet.start(host));
   await fleet.clock.advance(8_000);
   fleet.store.faults.setDown(false);
   await fleet.clock.advance(2_000);
@@ -94,7 +93,7 @@
 // Guards against records that end with their leases during a long outage and are not written again.
 void t.test('a record that lapsed while the store was away is back in 2 s', async (test) => {
   const fleet = createFleet(3);
-  HOSTS.forEach(fleet.start);
+  HOSTS.forEach((host) => fleet.start(host));
   await fleet.clock.advance(2_000);
   fleet.store.faults.setDown(true);
   await fleet.clock.advance(2 * directoryTimes.lease);
@@ -109,7 +108,7 @@
 void t.test('a node that restarts while the store is away is found', async (test) => {
   for (const pause of [200, 10_000, 25_000]) {
     const fleet = createFleet(4);
-    HOSTS.forEach(fleet.start);
+    HOSTS.forEach((host) => fleet.start(host));
     await fleet.clock.advance(2_000);
     fleet.store.faults.setDown(true);
     fleet.end('a');
@@ -124,7 +123,7 @@
 void t.test('a node that left and restarts while the store is away is found', async (test) => {
   for (const pause of [200, 10_000, 25_000]) {
     const fleet = createFleet(5);
-    HOSTS.forEach(fleet.start);
+    HOSTS.forEach((host) => fleet.start(host));
     await fleet.clock.advance(2_000);
     fleet.store.faults.setDown(true);
     await fleet.get('a').leave();
@@ -137,10 +136,23 @@
   }
 });
 
+// Guards against a clock that was set back between two starts: the records of the new process look older than the old ones.
+void t.test('a node that restarts with a lower incarnation is used again', async (test) => {
+  const fleet = createFleet(7);
+  HOSTS.forEach((host) => fleet.start(host));
+  await fleet.clock.advance(2_000);
+  await fleet.get('b').leave();
+  fleet.end('b');
+  await fleet.clock.advance(500);
+  fleet.start('b', 0);
+  await fleet.clock.advance(1_000);
+  HOSTS.forEach((host) => test.same(fleet.usable(host), HOSTS, host));
+});
+
 // Guards against a dead node that is called for ever, and against its record after the store has lost it.
 void t.test('a dead node is avoided once suspected and forgotten later', async (test) => {
   const fleet = createFleet(6);
-  HOSTS.forEach(fleet.start);
+  HOSTS.forEach((host) => fleet.start(host));
   await fleet.clock.advance(2_000);
   fleet.end('a');
   fleet.get('b').suspect('a' as HostId);
--- a/packages/sidecar/src/lib/directory/createMemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/createMemberDirectory.ts
@@ -1,4 +1,4 @@
-import type { Clock, HostId, RandomSource } from '@buckthornslip/common';
+import type { Clock, HostId, Incarnation, RandomSource } from '@buckthornslip/common';
 import type { Member } from '@buckthornslip/membership';
 import type { Store } from '@buckthornslip/platform';
 import type { EventLogger } from '@buckthornslip/telemetry';
@@ -9,7 +9,7 @@
 import type { DirectoryMessage } from './DirectoryMessage';
 import type { DirectoryPeers } from './DirectoryPeers';
 import { directoryTimes } from './directoryTimes';
-import type { MemberDirectory } from './MemberDirectory';
+import type { MemberDirectory, SelfChange } from './MemberDirectory';
 import { parseMember } from './parseMember';
 import { rememberByRevision } from './rememberByRevision';
 
@@ -78,8 +78,19 @@
     table.setAlive(member.host, true);
   };
 
+  /** A clock that was set back between two starts lets the records of this process look older than earlier ones. */
+  const outrank = (earlier: Member): void => {
+    if (earlier.incarnation <= self.incarnation) return;
+    const incarnation = (earlier.incarnation + 1) as Incarnation;
+    logger.log('recordOutranked', { host: self.host, incarnation, earlier: earlier.incarnation });
+    update({ incarnation });
+  };
+
   const learn = (member: Member, source: string): void => {
-    if (isSelf(member)) return;
+    if (isSelf(member)) {
+      outrank(member);
+      return;
+    }
     const known = table.get(member.host);
     if (!table.merge(member)) return;
     lastSeen.set(member.host, clock.monotonicMilliseconds());
@@ -121,11 +132,13 @@
     return true;
   }
 
-  const announceToAll = (): void => {
+  function update(change: SelfChange & Partial<Pick<Member, 'incarnation'>>): void {
+    self = { ...self, ...change, version: self.version + 1 };
+    table.merge(self);
     livePeers().forEach((member) => {
       void announceTo(member);
     });
-  };
+  }
 
   const verify = async (host: HostId): Promise<void> => {
     const member = table.get(host);
@@ -214,11 +227,7 @@
       record.start();
       void compareWithOthers();
     },
-    update: (change) => {
-      self = { ...self, ...change, version: self.version + 1 };
-      table.merge(self);
-      announceToAll();
-    },
+    update,
     livePeers,
     revision: table.revision,
     describe: () => message(false),
--- a/packages/telemetry/src/lib/events/sidecarEvents.ts
+++ b/packages/telemetry/src/lib/events/sidecarEvents.ts
@@ -23,6 +23,12 @@
   memberUnreachable: { number: 7201, level: 'warn', message: 'node does not answer' },
   memberForgotten: { number: 7202, level: 'info', message: 'node has no record and is silent' },
   recordRejected: { number: 7203, level: 'warn', message: 'malformed record ignored' },
+  recordOutranked: {
+    number: 7204,
+    level: 'warn',
+    message: 'records of an earlier process look newer; the own record was renumbered',
+    action: 'Check the clock of the host.',
+  },
   policyInForce: { number: 7300, level: 'info', message: 'policy in force' },
   policyRejected: {
     number: 7301,
