Enforce the configured limit of request bodies

The limit was decoded and not used. A declared length above it is refused with 413 before anything is sent on; a chunked body that grows beyond it is broken off.

--- a/packages/sidecar/src/lib/entry/createEntry.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.ts
@@ -123,8 +123,9 @@
       if (!response.writableFinished) scope.cancel('caller-gone');
       scope.end();
     });
-    const body = await readRequestBody(request);
-    if (!body) return undefined;
+    const read = await readRequestBody(request, accepted.policy.requestLimits.bodyBytes);
+    if (!read.ok && read.error === 'caller-gone') return undefined;
+    if (!read.ok) return { answer: refuse(read.error), attempts: 0, host: undefined };
     const refusal = await passGate(account?.id);
     if (refusal) return { answer: refusal, attempts: 0, host: undefined };
     return forwardThrottled(accepted, {
@@ -144,7 +145,7 @@
         method: request.method as string,
         target: request.url as string,
         headers: withoutHeaders(forwardableHeaders(request.rawHeaders), protocol.reservedNames),
-        body,
+        body: read.value,
         scope,
       },
     });
--- /dev/null
+++ b/packages/sidecar/src/lib/http/readRequestBody.test.ts
@@ -0,0 +1,73 @@
+import type { IncomingMessage } from 'node:http';
+import { createServer, request as httpRequest } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { buffer } from 'node:stream/consumers';
+
+import t from 'tap';
+
+import { readRequestBody } from './readRequestBody';
+
+const LIMIT_BYTES = 200_000;
+
+/** What became of a body: its length if it was read to its end, otherwise why not. */
+async function outcomeOf(request: IncomingMessage): Promise<string> {
+  const read = await readRequestBody(request, LIMIT_BYTES);
+  if (!read.ok) return read.error;
+  const body = read.value;
+  if (body.kind === 'whole') return `whole ${body.bytes.length}`;
+  try {
+    const rest = await buffer(body.stream);
+    return `stream ${body.head.length + rest.length}`;
+  } catch {
+    return 'broken off';
+  }
+}
+
+async function startServer() {
+  const outcomes: Promise<string>[] = [];
+  const server = createServer((request, response) => {
+    const outcome = outcomeOf(request);
+    outcomes.push(outcome);
+    void outcome.then(() => {
+      response.setHeader('Connection', 'close');
+      response.end();
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  /** Sends parts of a body, chunked unless the length is declared. */
+  const send = (parts: readonly number[], headers: Record<string, string> = {}): Promise<void> =>
+    new Promise((resolve) => {
+      const request = httpRequest({ host: '127.0.0.1', port, method: 'POST', headers });
+      // A server may answer, or close the connection, before it has read the whole body.
+      request.on('error', () => resolve());
+      request.on('response', (response) => {
+        response.resume();
+        resolve();
+      });
+      parts.forEach((bytes) => request.write(Buffer.alloc(bytes)));
+      request.end();
+    });
+  return { server, outcomes, send };
+}
+
+// Guards against callers that fill the memory of nodes and upstreams with bodies beyond the configured bound.
+void t.test('bodies up to the limit are read, longer ones are not', async (test) => {
+  const { outcomes, send, server } = await startServer();
+  await send([1_000]);
+  await send([70_000, 70_000]);
+  await send([70_000], { 'Content-Length': '70000' });
+  await send([], { 'Content-Length': String(LIMIT_BYTES + 1) });
+  await send([70_000, 70_000, 70_000]);
+  test.same(await Promise.all(outcomes), [
+    'whole 1000',
+    'stream 140000',
+    'stream 70000',
+    'body-too-large',
+    'broken off',
+  ]);
+  server.close();
+  server.closeAllConnections();
+});
--- a/packages/sidecar/src/lib/http/readRequestBody.ts
+++ b/packages/sidecar/src/lib/http/readRequestBody.ts
@@ -1,5 +1,9 @@
 import type { IncomingMessage } from 'node:http';
 
+import type { Result } from '@buckthornslip/common';
+import { failure, success } from '@buckthornslip/common';
+
+import { limitBody } from './limitBody';
 import type { RequestBody } from './RequestBody';
 
 /** Longest body that is kept in memory, in bytes. The bodies of both deployments' calls are below 32 KiB. */
@@ -7,6 +11,9 @@
 
 const EMPTY_BODY: RequestBody = { kind: 'whole', bytes: Buffer.alloc(0) };
 
+/** Why there is no body: the caller went away before its end, or it is longer than allowed. */
+export type BodyFailure = 'caller-gone' | 'body-too-large';
+
 function declaredLength(request: IncomingMessage): number | undefined {
   const text = request.headers['content-length'];
   return text === undefined ? undefined : Number(text);
@@ -16,15 +23,25 @@
  * Reads the body of a request up to a limit; a longer body is handed on as a stream.
  *
  * @param request - The request.
- * @returns The body; undefined if the caller went away before its end.
+ * @param limitBytes - Longest body that is accepted, in bytes.
+ * @returns The body.
  * @internal
  */
-export function readRequestBody(request: IncomingMessage): Promise<RequestBody | undefined> {
+export function readRequestBody(
+  request: IncomingMessage,
+  limitBytes: number,
+): Promise<Result<RequestBody, BodyFailure>> {
   const length = declaredLength(request);
   const isChunked = request.headers['transfer-encoding'] !== undefined;
-  if (!isChunked && (length === undefined || length === 0)) return Promise.resolve(EMPTY_BODY);
+  if (!isChunked && (length === undefined || length === 0)) {
+    return Promise.resolve(success(EMPTY_BODY));
+  }
+  if (length !== undefined && length > limitBytes) {
+    return Promise.resolve(failure('body-too-large'));
+  }
   if (length !== undefined && length > BUFFERED_BODY_BYTES) {
-    return Promise.resolve({ kind: 'stream', stream: request, length, head: Buffer.alloc(0) });
+    const head = Buffer.alloc(0);
+    return Promise.resolve(success({ kind: 'stream', stream: request, length, head }));
   }
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
@@ -32,13 +49,18 @@
     const onData = (chunk: Buffer): void => {
       chunks.push(chunk);
       size += chunk.length;
-      if (size <= BUFFERED_BODY_BYTES) return;
+      if (size <= Math.min(BUFFERED_BODY_BYTES, limitBytes)) return;
       request.pause();
       request.off('data', onData);
-      resolve({ kind: 'stream', stream: request, length, head: Buffer.concat(chunks) });
+      if (size > limitBytes) {
+        resolve(failure('body-too-large'));
+        return;
+      }
+      const stream = limitBody(request, limitBytes - size);
+      resolve(success({ kind: 'stream', stream, length, head: Buffer.concat(chunks) }));
     };
     request.on('data', onData);
-    request.once('end', () => resolve({ kind: 'whole', bytes: Buffer.concat(chunks) }));
-    request.once('close', () => resolve(undefined));
+    request.once('end', () => resolve(success({ kind: 'whole', bytes: Buffer.concat(chunks) })));
+    request.once('close', () => resolve(failure('caller-gone')));
   });
 }
