Reserve retries only from what is saved above one

Cause: a node whose share of the fleet's slack is small saves little more than one retry. The reserve for urgent calls then was above the full savings, so that no call without finished siblings was ever repeated.

--- a/packages/sidecar/src/lib/entry/createRetryAllowance.test.ts
+++ b/packages/sidecar/src/lib/entry/createRetryAllowance.test.ts
@@ -18,7 +18,7 @@
     fc.property(
       fc.array(fc.tuple(fc.boolean(), fc.nat(3), fc.nat(3)), { maxLength: 500 }),
       (steps) => {
-        const allowance = createRetryAllowance(() => SETTINGS);
+        const allowance = createRetryAllowance(SETTINGS);
         let first = 0;
         let retries = 0;
         return steps.every(([isFirst, finishedSiblings, rank]) => {
@@ -37,11 +37,21 @@
 
 // Guards against a failing service that uses up the retries of the others.
 void t.test('each service has its own allowance', async (test) => {
-  const allowance = createRetryAllowance(() => SETTINGS);
+  const allowance = createRetryAllowance(SETTINGS);
   while (allowance.take(SERVICE, NEARLY_DONE));
   test.ok(allowance.take(OTHER, { rank: 3, finishedSiblings: 0 }));
 });
 
+// Guards against a node whose share of the fleet's slack is too small for a reserve, and which would never retry.
+void t.test('full savings are enough for any call', async (test) => {
+  for (const saved of [1, 1.5, 3]) {
+    for (const rank of [0, 1, 2, 3]) {
+      const allowance = createRetryAllowance({ ratio: 0.1, saved });
+      test.ok(allowance.take(SERVICE, { rank, finishedSiblings: 0 }), `${saved} saved, ${rank}`);
+    }
+  }
+});
+
 const PARENTS = 20_000;
 const CALLS_OF_PARENT = 4;
 const REJECTED_SHARE = 0.45;
@@ -64,7 +74,7 @@
  */
 function countServed(urgentShare: number, claimOf: (parent: Parent) => RetryClaim): Served {
   const random = createSeededRandom(1);
-  const allowance = createRetryAllowance(() => ({ ratio: 0.1, saved: 2.5 }));
+  const allowance = createRetryAllowance({ ratio: 0.1, saved: 2.5 });
   const isRejected = (): boolean => random.next() < REJECTED_SHARE;
   const start = (): Parent => ({
     rank: urgentShare === 1 || random.next() < urgentShare ? 0 : 2,
--- a/packages/sidecar/src/lib/entry/createRetryAllowance.ts
+++ b/packages/sidecar/src/lib/entry/createRetryAllowance.ts
@@ -27,41 +27,41 @@
   readonly saved: number;
 }
 
-/** Share of the savings that is kept for calls with more finished siblings, by the number of finished siblings. */
-const RESERVED_BY_SIBLINGS: readonly number[] = [0.6, 0.5, 0.25];
+/** Share of the savings above one retry that is kept for calls with more finished siblings, by their number. */
+const RESERVED_BY_SIBLINGS: readonly number[] = [1, 0.83, 0.42];
 
-/** Share of the savings that is kept for more urgent calls, by the level of urgency. */
-const RESERVED_BY_RANK: readonly number[] = [0, 0.3, 0.6];
+/** Share of the savings above one retry that is kept for more urgent calls, by the level of urgency. */
+const RESERVED_BY_RANK: readonly number[] = [0, 0.5];
 
-/** Share that is kept from the least urgent calls: only full savings are more than one retry above it. */
-const LARGEST_RESERVED_SHARE = 0.6;
+/** Less urgent calls take a retry only from full savings. */
+const RESERVED_FROM_OTHERS = 1;
 
 function reservedShare({ finishedSiblings, rank }: RetryClaim): number {
   const forSiblings = RESERVED_BY_SIBLINGS[finishedSiblings] ?? 0;
-  const forUrgent = RESERVED_BY_RANK[rank] ?? LARGEST_RESERVED_SHARE;
+  const forUrgent = RESERVED_BY_RANK[rank] ?? RESERVED_FROM_OTHERS;
   return Math.max(forSiblings, forUrgent);
 }
 
 /**
  * Creates the bound on retries. Each node repeats in proportion to its own first attempts, which keeps the ratio of the
- * whole fleet without a message between nodes. It answers to upstreams that reject a share of all calls: a parent with several
- * nested calls then fails unless each of them gets through, so that scarce retries go to urgent calls and to parents that are nearly done.
+ * whole fleet without a message between nodes. It answers to upstreams that reject a share of all calls: a parent with
+ * several nested calls then fails unless each of them gets through, so that scarce retries go to urgent calls and to
+ * parents that are nearly done.
  *
  * @param settings - Ratio and savings.
  * @returns The allowance.
  * @internal
  */
-export function createRetryAllowance(settings: () => RetryAllowanceSettings): RetryAllowance {
+export function createRetryAllowance(settings: RetryAllowanceSettings): RetryAllowance {
+  const { ratio, saved } = settings;
   const tokens = new Map<ServiceId, number>();
   return {
     countFirstAttempt: (service) => {
-      const { ratio, saved } = settings();
       tokens.set(service, Math.min(saved, (tokens.get(service) ?? saved) + ratio));
     },
     take: (service, claim) => {
-      const { saved } = settings();
       const left = tokens.get(service) ?? saved;
-      if (left < 1 + saved * reservedShare(claim)) return false;
+      if (left < 1 + (saved - 1) * reservedShare(claim)) return false;
       tokens.set(service, left - 1);
       return true;
     },
