--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -96,7 +96,7 @@
       },
       report: () => undefined,
     },
-    retries: createRetryAllowance(() => ({ ratio: 0, saved: 0 })),
+    retries: createRetryAllowance({ ratio: 0, saved: 0 }),
     serving: { serve },
     host: HOST,
     callerService: SERVICE,
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -184,7 +184,7 @@
     running,
     gate,
     router,
-    retries: createRetryAllowance(() => options.retries),
+    retries: createRetryAllowance(options.retries),
     serving,
     host,
     callerService: service,
