--- a/packages/sidecar/src/lib/entry/EntryOptions.ts
+++ b/packages/sidecar/src/lib/entry/EntryOptions.ts
@@ -40,4 +40,6 @@
   readonly links: PeerLinks;
   /** @returns Whether the node has been asked to stop, so that callers should not keep their connections. */
   readonly isStopping: () => boolean;
+  /** @returns Whether the stop has come so far that only calls of the own upstream are taken. */
+  readonly refusesCallers: () => boolean;
 }
--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -57,7 +57,7 @@
   };
 }
 
-async function startEntry(serve: EntryOptions['serving']['serve']) {
+async function startEntry(serve: EntryOptions['serving']['serve'], refusesCallers = false) {
   const clock = createFakeClock();
   const policy = createPolicy();
   const random = createSeededRandom(1);
@@ -106,7 +106,8 @@
       },
       close: () => undefined,
     },
-    isStopping: () => false,
+    isStopping: () => refusesCallers,
+    refusesCallers: () => refusesCallers,
   });
   const server = createServer((request: IncomingMessage, response: ServerResponse) => {
     void entry.handle(request, response);
@@ -189,3 +190,11 @@
     close();
   },
 );
+
+// Guards against a call that begins so late in a stop that its answer is cut off.
+void t.test('late in a stop only calls of the own upstream are taken', async (test) => {
+  const { close, send } = await startEntry(async () => answered(), true);
+  test.equal(await send('/read/1', { key: 'other-key' }), 503);
+  test.equal(await send('/inner/1', {}), 200);
+  close();
+});
--- a/packages/sidecar/src/lib/entry/createRequestAcceptor.ts
+++ b/packages/sidecar/src/lib/entry/createRequestAcceptor.ts
@@ -57,6 +57,8 @@
     if (!account.ok) return account;
     // Callers and the upstream connect from one address. An upstream sends no key, and callers hardly use open routes.
     const isNested = entry.route.access === 'open' && head.key === undefined;
+    // A call that begins late in the stop could be cut off by its end.
+    if (!isNested && options.refusesCallers()) return failure(refuse('node-stopping'));
     const parent = isNested ? findParent(entry.route, head) : undefined;
     const level = options.levels()?.levelOf(account.value, entry.route) ?? 0;
     // A nested call whose parent cannot be told may serve an urgent one, and work was done for it already.
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -30,7 +30,7 @@
 import type { UpstreamView } from '../serving/UpstreamRegistry';
 import { createCallerListener } from './createCallerListener';
 import { createSidecarMetrics } from './createSidecarMetrics';
-import { drainServer } from './drainServer';
+import { drainServer, TAKING_WHILE_STOPPING_MILLISECONDS } from './drainServer';
 import { linkBudget } from './linkBudget';
 import type { Sidecar } from './Sidecar';
 import type { SidecarOptions } from './SidecarOptions';
@@ -44,6 +44,12 @@
 /** Longest wait of a call in the queue of its upstream, in milliseconds. */
 const QUEUE_TARGET_MILLISECONDS = 400;
 
+/**
+ * Time for which a stopping node goes on taking calls for its upstream, in milliseconds. In a rolling stop several nodes of
+ * one service stop at once; calls that start in this time still have four seconds of the stop limit to end.
+ */
+const SERVING_WHILE_STOPPING_MILLISECONDS = 1_200;
+
 function initialMember(options: SidecarOptions): Member {
   const { host, incarnation, listeners, region, zone } = options;
   return {
@@ -78,6 +84,8 @@
   const ticker = createTicker(clock, channelTimes.check);
   const links = createPeerLinks({ clock, logger, ticker, self: { host, incarnation } });
   let isStopping = false;
+  let isDraining = false;
+  let refusesCallers = false;
   let routes: RouteTable | undefined;
   let levels: UrgencyLevels | undefined;
   let upstreamConnections = DEFAULT_UPSTREAM_CONNECTIONS;
@@ -131,7 +139,7 @@
     directory.update({
       service: instance.service,
       slots,
-      state: isStopping ? 'draining' : memberState,
+      state: isDraining ? 'draining' : memberState,
     });
   };
   const upstream = createUpstreamRegistry({
@@ -162,14 +170,14 @@
     linkBudget: () => linkBudget,
   });
   const connect = upstreamAgents.get;
-  const running = createRunningCalls();
+  const runningCalls = createRunningCalls();
   const serving = createServing({
     clock,
     admission,
     upstream,
     connect,
     protocol,
-    running,
+    running: runningCalls,
     logger,
   });
   const entry = createEntry({
@@ -181,7 +189,7 @@
     policy,
     routes: () => routes,
     levels: () => levels,
-    running,
+    running: runningCalls,
     gate,
     router,
     retries: createRetryAllowance(options.retries),
@@ -190,6 +198,7 @@
     callerService: service,
     links,
     isStopping: () => isStopping,
+    refusesCallers: () => refusesCallers,
   });
 
   const callers = createCallerListener(logger, entry.handle);
@@ -225,10 +234,19 @@
   const stop = async (): Promise<void> => {
     isStopping = true;
     logger.log('processStopping', { host, inProgress: entry.inProgress() });
-    directory.update({ state: 'draining' });
+    const stopServing = clock.setTimer(SERVING_WHILE_STOPPING_MILLISECONDS, () => {
+      isDraining = true;
+      directory.update({ state: 'draining' });
+    });
+    const stopTaking = clock.setTimer(TAKING_WHILE_STOPPING_MILLISECONDS, () => {
+      refusesCallers = true;
+    });
     const deadline = clock.monotonicMilliseconds() + options.stopMilliseconds;
-    const inProgress = (): number => entry.inProgress() + admission.load().running;
-    await drainServer({ clock, server: callers.server, inProgress, deadline });
+    const running = (): number => admission.load().running;
+    const inProgress = (): number => entry.inProgress() + running();
+    await drainServer({ clock, server: callers.server, running, inProgress, deadline });
+    stopServing();
+    stopTaking();
     await Promise.race([directory.leave(), clock.sleep(deadline - clock.monotonicMilliseconds())]);
     peerListener.close();
     directory.close();
--- /dev/null
+++ b/packages/sidecar/src/lib/process/drainServer.test.ts
@@ -0,0 +1,60 @@
+import type { Server } from 'node:http';
+
+import { createFakeClock } from '@buckthornslip/common';
+import t from 'tap';
+
+import { drainServer } from './drainServer';
+
+const DEADLINE_MILLISECONDS = 5_600;
+
+function startDrain() {
+  const clock = createFakeClock();
+  const closedAt: number[] = [];
+  const server = {
+    close: () => closedAt.push(clock.monotonicMilliseconds()),
+    closeIdleConnections: () => undefined,
+    closeAllConnections: () => undefined,
+  } as unknown as Server;
+  const load = { running: 0, inProgress: 0 };
+  let endedAt: number | undefined;
+  const drained = drainServer({
+    clock,
+    server,
+    running: () => load.running,
+    inProgress: () => load.inProgress + load.running,
+    deadline: DEADLINE_MILLISECONDS,
+  }).then(() => {
+    endedAt = clock.monotonicMilliseconds();
+  });
+  return { clock, load, closedAt, drained, endedAt: () => endedAt };
+}
+
+void t.test('an idle listener is open for a while and then drained', async (test) => {
+  const { clock, closedAt, endedAt } = startDrain();
+  await clock.advance(2_000);
+  test.equal(closedAt.length, 0);
+  await clock.advance(1_500);
+  test.equal(closedAt.length, 1);
+  test.ok((endedAt() ?? Infinity) < 3_500);
+});
+
+// Guards against runs at the upstream that fail because their own calls find the listener closed.
+void t.test('the listener stays open while the upstream runs calls', async (test) => {
+  const { clock, closedAt, endedAt, load } = startDrain();
+  load.running = 1;
+  await clock.advance(4_000);
+  test.equal(closedAt.length, 0);
+  load.running = 0;
+  await clock.advance(1_000);
+  test.equal(closedAt.length, 1);
+  test.ok((endedAt() ?? Infinity) < 5_000);
+});
+
+// Guards against a process that is killed at the stop limit with open connections.
+void t.test('the drain ends at its deadline in any case', async (test) => {
+  const { clock, closedAt, endedAt, load } = startDrain();
+  load.running = 1;
+  await clock.advance(DEADLINE_MILLISECONDS + 100);
+  test.ok((closedAt[0] ?? Infinity) < DEADLINE_MILLISECONDS - 500);
+  test.ok((endedAt() ?? Infinity) <= DEADLINE_MILLISECONDS + 50);
+});
--- a/packages/sidecar/src/lib/process/drainServer.ts
+++ b/packages/sidecar/src/lib/process/drainServer.ts
@@ -6,18 +6,27 @@
 interface DrainOptions {
   readonly clock: Clock;
   readonly server: Server;
+  /** @returns Calls that the upstream runs; their own calls need new connections to this listener. */
+  readonly running: () => number;
   /** @returns Requests that have no complete answer yet. */
   readonly inProgress: () => number;
   /** Monotonic time at which the drain ends in any case, in milliseconds. */
   readonly deadline: number;
 }
 
-/** Time for which new connections are still taken, so that callers learn first that the node is not ready. */
-const STILL_OPEN_MILLISECONDS = 2_500;
+/**
+ * Time for which a stopping node takes calls of callers, in milliseconds, so that they learn first that it is not ready.
+ *
+ * @internal
+ */
+export const TAKING_WHILE_STOPPING_MILLISECONDS = 2_500;
 
 /** Time without a request in progress after which connections are closed, in milliseconds. */
 const QUIET_MILLISECONDS = 300;
 
+/** Time before the deadline at which the listener is closed even if the upstream is at work, in milliseconds. */
+const CLOSED_MILLISECONDS = 800;
+
 const CHECK_MILLISECONDS = 50;
 
 /**
@@ -28,9 +37,16 @@
  * @internal
  */
 export async function drainServer(options: DrainOptions): Promise<void> {
-  const { clock, deadline, inProgress, server } = options;
-  const openUntil = Math.min(deadline, clock.monotonicMilliseconds() + STILL_OPEN_MILLISECONDS);
-  while (clock.monotonicMilliseconds() < openUntil) await clock.sleep(CHECK_MILLISECONDS);
+  const { clock, deadline, inProgress, running, server } = options;
+  const openUntil = Math.min(
+    deadline,
+    clock.monotonicMilliseconds() + TAKING_WHILE_STOPPING_MILLISECONDS,
+  );
+  const isOpen = (): boolean => {
+    const now = clock.monotonicMilliseconds();
+    return now < openUntil || (running() > 0 && now < deadline - CLOSED_MILLISECONDS);
+  };
+  while (isOpen()) await clock.sleep(CHECK_MILLISECONDS);
   server.close();
   let quietSince = clock.monotonicMilliseconds();
   while (clock.monotonicMilliseconds() < deadline) {
