Eject members for error answers only if the others have far fewer

Error answers are now counted apart from failures to reach a member and compared with those of the other members in use. The new test of the router failed before for members that all fail half, 0.8 or all of their calls.

--- a/packages/routing/src/lib/candidates/Candidate.ts
+++ b/packages/routing/src/lib/candidates/Candidate.ts
@@ -28,6 +28,10 @@
   readyAt: number;
   failures: number;
   silences: number;
+  /** Consecutive failures that the upstream answered with. */
+  errors: number;
+  /** Moving share of such failures among its answers. */
+  errorShare: number;
   ejections: number;
   /** Monotonic time at which the ejection ends, in milliseconds; 0 when not ejected. */
   ejectedUntil: number;
--- a/packages/routing/src/lib/candidates/createCandidate.ts
+++ b/packages/routing/src/lib/candidates/createCandidate.ts
@@ -21,6 +21,8 @@
     readyAt,
     failures: 0,
     silences: 0,
+    errors: 0,
+    errorShare: 0,
     ejections: 0,
     ejectedUntil: 0,
   };
--- a/packages/routing/src/lib/choice/AttemptReport.ts
+++ b/packages/routing/src/lib/choice/AttemptReport.ts
@@ -10,7 +10,8 @@
 export interface AttemptReport {
   readonly host: HostId;
   readonly service: ServiceId;
-  readonly outcome: 'answered' | 'refused' | 'failed' | 'silent' | 'cancelled';
+  /** "errored" if the upstream itself answered with a failure, which may be that of a service it calls. */
+  readonly outcome: 'answered' | 'errored' | 'refused' | 'failed' | 'silent' | 'cancelled';
   /** Time from sending to the first byte of the answer, in milliseconds. */
   readonly latencyMilliseconds: number;
   /** Bytes sent and received, for the budget of the link between regions. */
--- a/packages/routing/src/lib/choice/RouterSettings.ts
+++ b/packages/routing/src/lib/choice/RouterSettings.ts
@@ -20,6 +20,8 @@
   readonly ejectionFailures: number;
   /** Consecutive silences after which a member is ejected. */
   readonly ejectionSilences: number;
+  /** How far the share of error answers must lie above that of the other members for an ejection. */
+  readonly ejectionErrorMargin: number;
   /** Length of a member's first ejection, in milliseconds; each further one is twice as long. */
   readonly ejectionMilliseconds: number;
   /** Longest ejection, in milliseconds. */
--- a/packages/routing/src/lib/choice/createRouter.test.ts
+++ b/packages/routing/src/lib/choice/createRouter.test.ts
@@ -8,7 +8,7 @@
 } from '@buckthornslip/common';
 import { createFakeClock, createSeededRandom } from '@buckthornslip/common';
 import type { Member } from '@buckthornslip/membership';
-import type { LinkBudgetSettings, RouterSettings } from '@buckthornslip/routing';
+import type { AttemptReport, LinkBudgetSettings, RouterSettings } from '@buckthornslip/routing';
 import { createRouter } from '@buckthornslip/routing';
 import { createSilentLogger } from '@buckthornslip/telemetry';
 import { BehaviorSubject } from 'rxjs';
@@ -79,7 +79,7 @@
   };
   const report = (
     host: HostId,
-    outcome: 'answered' | 'failed' | 'silent' | 'refused' = 'answered',
+    outcome: AttemptReport['outcome'] = 'answered',
     load: { queued?: number; cutoffRank?: number } = {},
     transferredBytes = 0,
   ): void => {
@@ -150,6 +150,30 @@
   test.ok((late.get(newHost) ?? 0) > 200, `${late.get(newHost)} of 1,000 after ten seconds`);
 });
 
+/** Sends calls of which a share of each member's fail with an error answer, and counts the members in use afterwards. */
+async function countUsedAfter(errorShareOf: (host: HostId) => number): Promise<number> {
+  const setting = createSetting(7, membersIn('riga-1', 4));
+  const random = createSeededRandom(7);
+  for (let call = 0; call < 400; call += 1) {
+    const member = await setting.chooseHost();
+    if (!member) continue;
+    const isError = random.next() < errorShareOf(member.host);
+    setting.report(member.host, isError ? 'errored' : 'answered');
+    await setting.clock.advance(5);
+  }
+  const used = new Set<HostId | undefined>();
+  for (let call = 0; call < 100; call += 1) used.add((await setting.chooseHost())?.host);
+  return used.size;
+}
+
+// Guards against healthy members that are ejected because a service that they all call fails.
+void t.test('error answers eject a member only if the others have far fewer', async (test) => {
+  for (const share of [0.5, 0.8, 1]) {
+    test.equal(await countUsedAfter(() => share), 4, `all fail ${share} of their calls`);
+  }
+  test.equal(await countUsedAfter((host) => (host === 'riga-1-2' ? 1 : 0.05)), 3);
+});
+
 void t.test('never more than half of a service is ejected', async (test) => {
   for (const size of [1, 2, 3, 4, 5]) {
     const setting = createSetting(4, membersIn('riga-1', size));
--- a/packages/routing/src/lib/choice/routerDefaults.ts
+++ b/packages/routing/src/lib/choice/routerDefaults.ts
@@ -17,6 +17,8 @@
   slowStartShare: 0.1,
   ejectionFailures: 5,
   ejectionSilences: 3,
+  // Errors that follow good answers reach this share after seven in a row.
+  ejectionErrorMargin: 0.5,
   ejectionMilliseconds: 5_000,
   ejectionLimitMilliseconds: 60_000,
   firstRosterMilliseconds: 1_000,
--- a/packages/routing/src/lib/ejection/countOutcome.ts
+++ b/packages/routing/src/lib/ejection/countOutcome.ts
@@ -3,9 +3,23 @@
 
 type Counter = (candidate: Candidate) => void;
 
+/** Weight of the newest answer in the moving share of failures. */
+const NEWEST_WEIGHT = 0.1;
+
+function noteAnswer(candidate: Candidate, isError: boolean): void {
+  const errorShare =
+    candidate.errorShare + NEWEST_WEIGHT * (Number(isError) - candidate.errorShare);
+  const errors = isError ? candidate.errors + 1 : 0;
+  Object.assign(candidate, { errors, errorShare, failures: 0, silences: 0 });
+}
+
 /** Outcomes count in place. Answers and refusals prove that the member responds. */
 const counters: Readonly<Record<AttemptReport['outcome'], Counter>> = {
-  answered: (candidate) => Object.assign(candidate, { failures: 0, silences: 0, ejections: 0 }),
+  answered: (candidate) => {
+    noteAnswer(candidate, false);
+    Object.assign(candidate, { ejections: 0 });
+  },
+  errored: (candidate) => noteAnswer(candidate, true),
   refused: (candidate) => Object.assign(candidate, { failures: 0, silences: 0 }),
   failed: (candidate) => Object.assign(candidate, { failures: candidate.failures + 1 }),
   silent: (candidate) => Object.assign(candidate, { silences: candidate.silences + 1 }),
@@ -13,7 +27,7 @@
 };
 
 /**
- * Counts consecutive failures and silences of a member.
+ * Counts consecutive failures, silences and error answers of a member.
  *
  * @param candidate - The member.
  * @param outcome - Outcome of an attempt.
--- a/packages/routing/src/lib/ejection/createEjector.ts
+++ b/packages/routing/src/lib/ejection/createEjector.ts
@@ -27,13 +27,22 @@
   const eject = (candidate: Candidate, now: number): void => {
     const length = ejectionLength(candidate, settings);
     const { host, service } = candidate.member;
-    const { failures, silences } = candidate;
-    logger.log('memberEjected', { host, service, failures, silences, milliseconds: length });
+    const { errors, failures, silences } = candidate;
+    logger.log('memberEjected', {
+      host,
+      service,
+      errors,
+      failures,
+      silences,
+      milliseconds: length,
+    });
     Object.assign(candidate, {
       ejectedUntil: now + length,
       ejections: candidate.ejections + 1,
       failures: 0,
       silences: 0,
+      errors: 0,
+      errorShare: 0,
     });
     table.rebuild(now);
     clock.setTimer(length, () => table.rebuild(clock.monotonicMilliseconds()));
@@ -43,7 +52,8 @@
   return (candidate, outcome) => {
     countOutcome(candidate, outcome);
     const now = clock.monotonicMilliseconds();
-    if (!candidate.level || !isOutlier(candidate, settings)) return;
+    if (!candidate.level) return;
+    if (!isOutlier(candidate, () => table.othersInUse(candidate), settings)) return;
     const hasRoom = table.ejectedCount(now) < ejectionLimit(table.readyCount());
     if (hasRoom) eject(candidate, now);
   };
--- a/packages/routing/src/lib/service/CandidateTable.ts
+++ b/packages/routing/src/lib/service/CandidateTable.ts
@@ -14,6 +14,8 @@
   readonly find: (host: HostId) => Candidate | undefined;
   readonly readyCount: () => number;
   readonly ejectedCount: (now: number) => number;
+  /** @returns Members besides the given one that may be chosen now. */
+  readonly othersInUse: (candidate: Candidate) => readonly Candidate[];
   /** Sorts the members into levels again after an ejection begins or ends. */
   readonly rebuild: (now: number) => void;
   /** Takes over a new list of members. */
--- a/packages/routing/src/lib/service/createCandidateTable.ts
+++ b/packages/routing/src/lib/service/createCandidateTable.ts
@@ -81,6 +81,8 @@
     readyCount: () => readyCount,
     ejectedCount: (now) =>
       [...candidates.values()].filter((one) => isReady(one) && one.ejectedUntil > now).length,
+    othersInUse: (candidate) =>
+      [...candidates.values()].filter((one) => one !== candidate && one.level !== undefined),
     rebuild,
     replace: (members, now) => {
       removeExcept(new Set(members.map((member) => member.host)));
--- a/packages/sidecar/src/lib/entry/createForwarder.ts
+++ b/packages/sidecar/src/lib/entry/createForwarder.ts
@@ -2,6 +2,7 @@
 import { refuse } from '@buckthornslip/calls';
 import type { RefusalReason } from '@buckthornslip/common';
 import type { Member } from '@buckthornslip/membership';
+import type { AttemptReport } from '@buckthornslip/routing';
 
 import { priorityOfLevel } from '../policy/priorityOfLevel';
 import type { ServedAnswer, UpstreamAnswer } from '../serving/ServedAnswer';
@@ -37,10 +38,10 @@
   'upstream-shed',
 ]);
 
-type ReportOutcome = 'answered' | 'refused' | 'failed' | 'silent' | 'cancelled';
+type ReportOutcome = AttemptReport['outcome'];
 
 function reportOutcome(answer: UpstreamAnswer | Refusal): ReportOutcome {
-  if (answer.kind === 'answer') return answer.status >= SERVER_ERROR ? 'failed' : 'answered';
+  if (answer.kind === 'answer') return answer.status >= SERVER_ERROR ? 'errored' : 'answered';
   if (answer.reason === 'caller-gone' || answer.reason === 'deadline-exceeded') return 'cancelled';
   const isFailure = answer.reason === 'peer-unreachable' || answer.reason === 'upstream-failed';
   return isFailure ? 'failed' : 'refused';
