--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -34,6 +34,7 @@
 import { linkBudget } from './linkBudget';
 import type { Sidecar } from './Sidecar';
 import type { SidecarOptions } from './SidecarOptions';
+import { sidecarRouterSettings } from './sidecarRouterSettings';
 
 /** Limits of connections to the own upstream, which is on the same host. */
 const UPSTREAM_CONNECTIONS = { idleMilliseconds: 8_000, connectMilliseconds: 400 } as const;
@@ -168,6 +169,7 @@
     random,
     logger,
     linkBudget: () => linkBudget,
+    settings: sidecarRouterSettings,
   });
   const connect = upstreamAgents.get;
   const runningCalls = createRunningCalls();
@@ -231,23 +233,22 @@
     addGauge('in_progress', 'Requests without a complete answer', entry.inProgress);
   };
 
-  const stop = async (): Promise<void> => {
-    isStopping = true;
-    logger.log('processStopping', { host, inProgress: entry.inProgress() });
-    const stopServing = clock.setTimer(SERVING_WHILE_STOPPING_MILLISECONDS, () => {
+  /** Begins the steps of a stop that follow its beginning; the returned function cancels those still to come. */
+  const withdrawInSteps = (): (() => void) => {
+    const cancelDraining = clock.setTimer(SERVING_WHILE_STOPPING_MILLISECONDS, () => {
       isDraining = true;
       directory.update({ state: 'draining' });
     });
-    const stopTaking = clock.setTimer(TAKING_WHILE_STOPPING_MILLISECONDS, () => {
+    const cancelRefusing = clock.setTimer(TAKING_WHILE_STOPPING_MILLISECONDS, () => {
       refusesCallers = true;
     });
-    const deadline = clock.monotonicMilliseconds() + options.stopMilliseconds;
-    const running = (): number => admission.load().running;
-    const inProgress = (): number => entry.inProgress() + running();
-    await drainServer({ clock, server: callers.server, running, inProgress, deadline });
-    stopServing();
-    stopTaking();
-    await Promise.race([directory.leave(), clock.sleep(deadline - clock.monotonicMilliseconds())]);
+    return () => {
+      cancelDraining();
+      cancelRefusing();
+    };
+  };
+
+  const closeAll = (): void => {
     peerListener.close();
     directory.close();
     policy.close();
@@ -256,6 +257,19 @@
     links.close();
     upstreamAgents.close();
     store.close();
+  };
+
+  const stop = async (): Promise<void> => {
+    isStopping = true;
+    const deadline = clock.monotonicMilliseconds() + options.stopMilliseconds;
+    const running = (): number => admission.load().running;
+    const inProgress = (): number => entry.inProgress() + running();
+    logger.log('processStopping', { host, inProgress: entry.inProgress() });
+    const cancelSteps = withdrawInSteps();
+    await drainServer({ clock, server: callers.server, running, inProgress, deadline });
+    cancelSteps();
+    await Promise.race([directory.leave(), clock.sleep(deadline - clock.monotonicMilliseconds())]);
+    closeAll();
     logger.log('processStopped', { host, inProgress: inProgress() });
   };
 
