Ask a node for its record when it refuses by its state

A change is told once, and a node that does not learn it then finds out by a comparison with a random node. A refusal that the router should have avoided now makes the entry ask for the record at once.

--- a/packages/sidecar/src/lib/directory/createMemberDirectory.test.ts
+++ b/packages/sidecar/src/lib/directory/createMemberDirectory.test.ts
@@ -36,6 +36,8 @@
   const random = createSeededRandom(seed);
   const store = createMemoryStore({ clock });
   const directories = new Map<string, MemberDirectory>();
+  /** Nodes that get no messages. */
+  const deaf = new Set<string>();
   let incarnation = 0;
 
   const start = (host: string, ownIncarnation = (incarnation += 1)): MemberDirectory => {
@@ -45,7 +47,8 @@
       random,
       store,
       peers: {
-        exchange: async (address, message) => directories.get(address)?.receive(message),
+        exchange: async (address, message) =>
+          deaf.has(address) ? undefined : directories.get(address)?.receive(message),
       },
       logger: createSilentLogger(),
       policyRevision: () => 0,
@@ -66,7 +69,7 @@
       .map((member) => member.host)
       .sort();
   const get = (host: string): MemberDirectory => directories.get(host) as MemberDirectory;
-  return { clock, store, start, end, usable, get };
+  return { clock, store, deaf, start, end, usable, get };
 }
 
 const HOSTS = ['a', 'b', 'c', 'd'];
@@ -166,3 +169,18 @@
       .some(({ host }) => host === 'a'),
   );
 });
+
+// Guards against a node that missed a change and learns it only when the two happen to compare their tables.
+void t.test('a missed change is learnt as soon as the node is asked', async (test) => {
+  const fleet = createFleet(8);
+  HOSTS.forEach((host) => fleet.start(host));
+  await fleet.clock.advance(2_000);
+  fleet.deaf.add('a');
+  fleet.get('b').update({ state: 'starting' });
+  await fleet.clock.advance(100);
+  fleet.deaf.delete('a');
+  test.same(fleet.usable('a'), HOSTS);
+  fleet.get('a').suspect('b' as HostId);
+  await fleet.clock.advance(100);
+  test.same(fleet.usable('a'), ['a', 'c', 'd']);
+});
--- a/packages/sidecar/src/lib/entry/EntryOptions.ts
+++ b/packages/sidecar/src/lib/entry/EntryOptions.ts
@@ -31,6 +31,8 @@
   readonly running: RunningCalls;
   readonly gate: AccountGate;
   readonly router: Router;
+  /** Asks another node for its record, because the known one seems to be out of date. */
+  readonly refreshMember: (host: HostId) => void;
   readonly retries: RetryAllowance;
   readonly serving: Serving;
   /** Host of this node; calls that its own upstream serves take no connection. */
--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -62,6 +62,7 @@
   const policy = createPolicy();
   const random = createSeededRandom(1);
   const running = createRunningCalls();
+  const refreshed: string[] = [];
   const entry = createEntry({
     clock,
     random,
@@ -96,6 +97,7 @@
       },
       report: () => undefined,
     },
+    refreshMember: (host) => refreshed.push(host),
     retries: createRetryAllowance({ ratio: 0, saved: 0 }),
     serving: { serve },
     host: HOST,
@@ -132,7 +134,7 @@
     server.close();
     server.closeAllConnections();
   };
-  return { clock, send, running, close };
+  return { clock, send, running, close, refreshed };
 }
 
 const answered = (body = 'ok') =>
@@ -198,3 +200,18 @@
   test.equal(await send('/inner/1', {}), 200);
   close();
 });
+
+// Guards against a node that missed the news of an upstream's end and goes on sending calls there.
+void t.test('a node that refuses by its state is asked for its record', async (test) => {
+  const reasons = ['queue-timeout', 'no-upstream'] as const;
+  let calls = 0;
+  const { close, refreshed, send } = await startEntry(async () => {
+    calls += 1;
+    return { answer: refuse(reasons[calls - 1] ?? 'queue-timeout'), load: undefined };
+  });
+  await send('/read/1', { key: 'other-key' });
+  test.same(refreshed, []);
+  await send('/read/1', { key: 'other-key' });
+  test.same(refreshed, [HOST]);
+  close();
+});
--- a/packages/sidecar/src/lib/entry/createForwarder.ts
+++ b/packages/sidecar/src/lib/entry/createForwarder.ts
@@ -38,6 +38,12 @@
   'upstream-shed',
 ]);
 
+/** Refusals of a serving node that the router would have avoided if it knew the node's present state. */
+const STATE_REASONS: ReadonlySet<RefusalReason> = new Set<RefusalReason>([
+  'no-upstream',
+  'upstream-draining',
+]);
+
 type ReportOutcome = AttemptReport['outcome'];
 
 function reportOutcome(answer: UpstreamAnswer | Refusal): ReportOutcome {
@@ -55,7 +61,7 @@
  * @internal
  */
 export function createForwarder(options: EntryOptions): Forwarder {
-  const { clock, host, links, logger, metrics, retries, router, serving } = options;
+  const { clock, host, links, logger, metrics, refreshMember, retries, router, serving } = options;
 
   const send = async (member: Member, { call }: EntryCall): Promise<ServedAnswer> => {
     const sentMilliseconds = clock.monotonicMilliseconds();
@@ -70,6 +76,8 @@
       transferredBytes: served.answer.kind === 'answer' ? served.answer.body.length : 0,
       load: served.load,
     });
+    const { answer } = served;
+    if (answer.kind === 'refusal' && STATE_REASONS.has(answer.reason)) refreshMember(member.host);
     return served;
   };
 
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -194,6 +194,7 @@
     running: runningCalls,
     gate,
     router,
+    refreshMember: suspect,
     retries: createRetryAllowance(options.retries),
     serving,
     host,
