--- a/packages/sidecar/src/lib/entry/createEntry.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.ts
@@ -123,7 +123,10 @@
       if (!response.writableFinished) scope.cancel('caller-gone');
       scope.end();
     });
-    const read = await readRequestBody(request, accepted.policy.requestLimits.bodyBytes);
+    const limitBytes = accepted.policy.requestLimits.bodyBytes;
+    const read = await readRequestBody(request, limitBytes, () => {
+      logger.log('bodyTooLong', { requestId: head.requestId, limitBytes });
+    });
     if (!read.ok && read.error === 'caller-gone') return undefined;
     if (!read.ok) return { answer: refuse(read.error), attempts: 0, host: undefined };
     const refusal = await passGate(account?.id);
--- a/packages/sidecar/src/lib/http/limitBody.ts
+++ b/packages/sidecar/src/lib/http/limitBody.ts
@@ -8,10 +8,15 @@
  *
  * @param request - The request, whose first part has been read.
  * @param limitBytes - Longest rest, in bytes.
+ * @param onExceeded - Called when the rest is longer.
  * @returns The rest of the body.
  * @internal
  */
-export function limitBody(request: IncomingMessage, limitBytes: number): Readable {
+export function limitBody(
+  request: IncomingMessage,
+  limitBytes: number,
+  onExceeded: () => void,
+): Readable {
   let left = limitBytes;
   const limited = new Transform({
     transform: (chunk: Buffer, _encoding, done) => {
@@ -20,6 +25,7 @@
         done(null, chunk);
         return;
       }
+      onExceeded();
       request.destroy();
       done(new Error(`body is longer than ${limitBytes} further bytes`));
     },
--- a/packages/sidecar/src/lib/http/readRequestBody.test.ts
+++ b/packages/sidecar/src/lib/http/readRequestBody.test.ts
@@ -11,7 +11,10 @@
 
 /** What became of a body: its length if it was read to its end, otherwise why not. */
 async function outcomeOf(request: IncomingMessage): Promise<string> {
-  const read = await readRequestBody(request, LIMIT_BYTES);
+  let broken = 'broken off';
+  const read = await readRequestBody(request, LIMIT_BYTES, () => {
+    broken = 'broken off as too long';
+  });
   if (!read.ok) return read.error;
   const body = read.value;
   if (body.kind === 'whole') return `whole ${body.bytes.length}`;
@@ -19,7 +22,7 @@
     const rest = await buffer(body.stream);
     return `stream ${body.head.length + rest.length}`;
   } catch {
-    return 'broken off';
+    return broken;
   }
 }
 
@@ -66,7 +69,7 @@
     'stream 140000',
     'stream 70000',
     'body-too-large',
-    'broken off',
+    'broken off as too long',
   ]);
   server.close();
   server.closeAllConnections();
--- a/packages/sidecar/src/lib/http/readRequestBody.ts
+++ b/packages/sidecar/src/lib/http/readRequestBody.ts
@@ -24,12 +24,14 @@
  *
  * @param request - The request.
  * @param limitBytes - Longest body that is accepted, in bytes.
+ * @param onExceeded - Called when a body that is read in parts turns out to be longer.
  * @returns The body.
  * @internal
  */
 export function readRequestBody(
   request: IncomingMessage,
   limitBytes: number,
+  onExceeded: () => void,
 ): Promise<Result<RequestBody, BodyFailure>> {
   const length = declaredLength(request);
   const isChunked = request.headers['transfer-encoding'] !== undefined;
@@ -56,7 +58,7 @@
         resolve(failure('body-too-large'));
         return;
       }
-      const stream = limitBody(request, limitBytes - size);
+      const stream = limitBody(request, limitBytes - size, onExceeded);
       resolve(success({ kind: 'stream', stream, length, head: Buffer.concat(chunks) }));
     };
     request.on('data', onData);
--- a/packages/telemetry/src/lib/events/sidecarEvents.ts
+++ b/packages/telemetry/src/lib/events/sidecarEvents.ts
@@ -17,6 +17,11 @@
     level: 'warn',
     message: 'upstream answered with success but without its mark; the answer was withheld',
   },
+  bodyTooLong: {
+    number: 7007,
+    level: 'info',
+    message: 'body grew beyond the limit; the connection was closed',
+  },
   upstreamStateChanged: { number: 7100, level: 'info', message: 'upstream changed its state' },
   announcementRejected: { number: 7101, level: 'warn', message: 'malformed announcement ignored' },
   memberChanged: { number: 7200, level: 'info', message: 'news of another node' },
