--- a/packages/routing/src/lib/ejection/countOutcome.ts
+++ b/packages/routing/src/lib/ejection/countOutcome.ts
@@ -3,7 +3,7 @@
 
 type Counter = (candidate: Candidate) => void;
 
-/** Weight of the newest answer in the moving share of failures. */
+/** Weight of the newest answer in the moving share of failures: with 0.2, chance ejected members that all fail half. */
 const NEWEST_WEIGHT = 0.1;
 
 function noteAnswer(candidate: Candidate, isError: boolean): void {
--- a/packages/sidecar/src/lib/entry/createRetryAllowance.ts
+++ b/packages/sidecar/src/lib/entry/createRetryAllowance.ts
@@ -27,10 +27,13 @@
   readonly saved: number;
 }
 
-/** Share of the savings above one retry that is kept for calls with more finished siblings, by their number. */
+/**
+ * Share of the savings above one retry that is kept for calls with more finished siblings, by their number. Of the values
+ * tried in this file's load test, these served most parents of four calls.
+ */
 const RESERVED_BY_SIBLINGS: readonly number[] = [1, 0.83, 0.42];
 
-/** Share of the savings above one retry that is kept for more urgent calls, by the level of urgency. */
+/** The same for more urgent calls, by the level of urgency: the two levels of urgent accounts come before all others. */
 const RESERVED_BY_RANK: readonly number[] = [0, 0.5];
 
 /** Less urgent calls take a retry only from full savings. */
--- a/packages/sidecar/src/lib/process/drainServer.ts
+++ b/packages/sidecar/src/lib/process/drainServer.ts
@@ -24,7 +24,10 @@
 /** Time without a request in progress after which connections are closed, in milliseconds. */
 const QUIET_MILLISECONDS = 300;
 
-/** Time before the deadline at which the listener is closed even if the upstream is at work, in milliseconds. */
+/**
+ * Time before the deadline at which the listener is closed even if the upstream is at work, in milliseconds. A call that
+ * begins later would hardly end in time.
+ */
 const CLOSED_MILLISECONDS = 800;
 
 const CHECK_MILLISECONDS = 50;
