--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -73,6 +73,8 @@
 export type { UpstreamState } from './lib/serving/UpstreamState';
 export { createCallScope } from './lib/http/createCallScope';
 export { forwardableHeaders } from './lib/http/forwardableHeaders';
+export { framingHeaders } from './lib/http/framingHeaders';
+export { isServerError } from './lib/http/isServerError';
 export { refuse } from './lib/http/refuse';
 export { loadHeader } from './lib/serving/loadHeader';
 export { parseLoadHeader } from './lib/serving/parseLoadHeader';
--- a/packages/calls/src/lib/http/exchangeOverHttp.ts
+++ b/packages/calls/src/lib/http/exchangeOverHttp.ts
@@ -8,6 +8,7 @@
 import { createSilenceWatch } from './createSilenceWatch';
 import type { Exchange } from './Exchange';
 import type { ExchangeResult } from './ExchangeResult';
+import { framingHeaders } from './framingHeaders';
 import type { RelayEnd } from './relayBody';
 import { relayBody } from './relayBody';
 import type { RequestBody } from './RequestBody';
@@ -22,12 +23,7 @@
   const headers = [...exchange.headers];
   const hasHost = headers.some((text, index) => index % 2 === 0 && text.toLowerCase() === 'host');
   if (!hasHost) headers.push('Host', exchange.pool.authority);
-  if (body.kind === 'stream') {
-    if (body.length === undefined) headers.push('Transfer-Encoding', 'chunked');
-    else headers.push('Content-Length', String(body.length));
-  } else if (body.bytes.length > 0 || !/^(?:GET|HEAD|DELETE|OPTIONS|TRACE)$/.test(method)) {
-    headers.push('Content-Length', String(body.bytes.length));
-  }
+  headers.push(...framingHeaders(method, body));
   return headers;
 }
 
--- a/packages/calls/src/lib/http/forwardableHeaders.ts
+++ b/packages/calls/src/lib/http/forwardableHeaders.ts
@@ -39,16 +39,22 @@
  * Keeps the headers that go on to the next hop.
  *
  * @param raw - Names and values in turn, as received.
- * @param options - Spellings of a key that no value may hold, and whether the declared length stays.
+ * @param options - Spellings of a key that no value may hold, further names to leave out, in lower case, and whether the
+ *   declared length stays.
  * @returns Names and values in turn.
  * @internal
  */
 export function forwardableHeaders(
   raw: readonly string[],
-  options: { readonly keyForms?: readonly string[]; readonly keepLength?: boolean } = {},
+  options: {
+    readonly keyForms?: readonly string[];
+    readonly keepLength?: boolean;
+    readonly without?: ReadonlySet<string>;
+  } = {},
 ): string[] {
   const named = namedByConnection(raw);
   const keyForms = options.keyForms ?? [];
+  const without = options.without ?? NONE;
   const kept: string[] = [];
   for (let index = 0; index < raw.length; index += 2) {
     const name = raw[index] as string;
@@ -58,6 +64,7 @@
       (REMOVED.has(lower) && !(options.keepLength === true && lower === 'content-length')) ||
       lower.startsWith(SYSTEM_HEADER_PREFIX) ||
       named.has(lower) ||
+      without.has(lower) ||
       (keyForms.length > 0 && (holdsKey(value, keyForms) || holdsKey(name, keyForms)));
     if (!isRemoved) kept.push(name, value);
   }
--- a/packages/calls/src/lib/serving/dispatchToUpstream.ts
+++ b/packages/calls/src/lib/serving/dispatchToUpstream.ts
@@ -9,6 +9,7 @@
 import type { ExchangeResult } from '../http/ExchangeResult';
 import { forwardableHeaders } from '../http/forwardableHeaders';
 import { isFramed } from '../http/isFramed';
+import { isServerError } from '../http/isServerError';
 import { refusesConnections } from '../http/refusesConnections';
 import type { Refusal } from '../http/Refusal';
 import { refuse } from '../http/refuse';
@@ -18,9 +19,6 @@
 /** Time to first byte for services that the manifest does not name, in milliseconds. */
 const FIRST_BYTE_MILLISECONDS = 5_000;
 
-/** Smallest status that counts as a failure for the adaptive limit. */
-const SERVER_ERROR = 500;
-
 type Failed = ExchangeResult & { readonly kind: 'failed' };
 type TicketOutcome = Parameters<AdmissionTicket['release']>[0];
 
@@ -132,7 +130,7 @@
 ): CallAnswer {
   const status = response.statusCode as number;
   response.once('close', () => {
-    if (response.complete) dispatch.end(status >= SERVER_ERROR ? 'failed' : 'completed', true);
+    if (response.complete) dispatch.end(isServerError(status) ? 'failed' : 'completed', true);
     else void endTruncated(dependencies, dispatch);
   });
   const headers = forwardableHeaders(response.rawHeaders, { keepLength: true });
--- a/packages/sidecar/src/lib/directory/createMemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/createMemberDirectory.ts
@@ -9,7 +9,7 @@
 import type { DirectoryMessage } from './DirectoryMessage';
 import type { DirectoryPeers } from './DirectoryPeers';
 import { directoryTimes } from './directoryTimes';
-import type { MemberDirectory, SelfChange } from './MemberDirectory';
+import type { MemberDirectory } from './MemberDirectory';
 import { parseMember } from './parseMember';
 import { rememberByRevision } from './rememberByRevision';
 
@@ -83,7 +83,7 @@
     if (earlier.incarnation <= self.incarnation) return;
     const incarnation = (earlier.incarnation + 1) as Incarnation;
     logger.log('recordOutranked', { host: self.host, incarnation, earlier: earlier.incarnation });
-    update({ incarnation });
+    void changeSelf({ incarnation });
   };
 
   const learn = (member: Member, source: string): void => {
@@ -132,12 +132,11 @@
     return true;
   }
 
-  function update(change: SelfChange & Partial<Pick<Member, 'incarnation'>>): void {
+  /** @returns Resolves when all nodes that run have answered, or could not be reached. */
+  async function changeSelf(change: Partial<Member>): Promise<void> {
     self = { ...self, ...change, version: self.version + 1 };
     table.merge(self);
-    livePeers().forEach((member) => {
-      void announceTo(member);
-    });
+    await Promise.all(livePeers().map((member) => announceTo(member)));
   }
 
   const verify = async (host: HostId): Promise<void> => {
@@ -227,7 +226,9 @@
       record.start();
       void compareWithOthers();
     },
-    update,
+    update: (change) => {
+      void changeSelf(change);
+    },
     livePeers,
     revision: table.revision,
     describe: () => message(false),
@@ -236,9 +237,7 @@
       return message(received.digest !== table.digest());
     },
     leave: async () => {
-      self = { ...self, state: 'left', version: self.version + 1 };
-      table.merge(self);
-      await Promise.all(livePeers().map((member) => announceTo(member)));
+      await changeSelf({ state: 'left' });
       await record.withdraw();
     },
     close: () => {
--- a/packages/sidecar/src/lib/directory/createMemberTable.ts
+++ b/packages/sidecar/src/lib/directory/createMemberTable.ts
@@ -2,6 +2,8 @@
 import type { Member } from '@buckthornslip/membership';
 import { Subject, type Observable } from 'rxjs';
 
+import { rememberByRevision } from './rememberByRevision';
+
 /**
  * Records of all known nodes.
  *
@@ -36,7 +38,6 @@
 export function createMemberTable(): MemberTable {
   const members = new Map<HostId, Member>();
   const subjects = new Map<ServiceId, Subject<readonly Member[]>>();
-  let digest: string | undefined;
   let revision = 0;
 
   const ofService = (service: ServiceId): readonly Member[] =>
@@ -49,7 +50,6 @@
   const put = (member: Member): void => {
     const previous = members.get(member.host)?.service;
     members.set(member.host, member);
-    digest = undefined;
     revision += 1;
     emit(member.service);
     if (previous !== member.service) emit(previous);
@@ -85,14 +85,10 @@
     remove: (host) => {
       const known = members.get(host);
       members.delete(host);
-      digest = undefined;
       revision += 1;
       emit(known?.service);
     },
     revision: () => revision,
-    digest: () => {
-      digest ??= computeDigest();
-      return digest;
-    },
+    digest: rememberByRevision(() => revision, computeDigest),
   };
 }
--- a/packages/sidecar/src/lib/entry/EntryCall.ts
+++ b/packages/sidecar/src/lib/entry/EntryCall.ts
@@ -1,4 +1,3 @@
-import type { CallScope } from '@buckthornslip/calls';
 import type { PolicyRoute } from '@buckthornslip/config';
 
 import type { ServingCall } from '../serving/ServingCall';
@@ -12,7 +11,6 @@
   readonly route: PolicyRoute;
   /** The call as a serving node gets it. */
   readonly call: ServingCall;
-  readonly scope: CallScope;
   /** Calls that have already been finished for the call that this one serves; 0 for a call of a caller. */
   readonly finishedSiblings: number;
 }
--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -77,7 +77,6 @@
       readAnswer: () => ({ requestId: undefined, isNotRun: false, isSigned: true }),
       writeUpstreamHeaders: () => [],
       reservedNames: new Set(['key']),
-      answerOnlyNames: new Set(),
     },
     policy: {
       current: () => policy,
--- a/packages/sidecar/src/lib/entry/createEntry.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.ts
@@ -1,13 +1,12 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import type { Refusal } from '@buckthornslip/calls';
-import { createCallScope, forwardableHeaders, refuse } from '@buckthornslip/calls';
+import { createCallScope, forwardableHeaders, isServerError, refuse } from '@buckthornslip/calls';
 import type { AccountId } from '@buckthornslip/common';
 import type { PolicyRoute } from '@buckthornslip/config';
 
 import { DEFAULT_TIMEOUT_MILLISECONDS } from './DEFAULT_TIMEOUT_MILLISECONDS';
 import { readRequestBody } from '../http/readRequestBody';
-import { withoutHeaders } from '../http/withoutHeaders';
 import { writeAnswer } from '../http/writeAnswer';
 import type { RequestHead } from '../protocol/RequestHead';
 import { createForwarder } from './createForwarder';
@@ -27,11 +26,12 @@
   readonly inProgress: () => number;
 }
 
-/** Smallest status of a failure of an upstream. */
-const SERVER_ERROR = 500;
-
 function isSuccess(answer: ForwardResult['answer']): boolean {
-  return answer.kind === 'answer' && answer.status < SERVER_ERROR;
+  return answer.kind === 'answer' && !isServerError(answer.status);
+}
+
+function notSent(answer: Refusal): ForwardResult {
+  return { answer, attempts: 0, host: undefined };
 }
 
 function timeoutOf(head: RequestHead, route: PolicyRoute): number {
@@ -102,7 +102,7 @@
   ): Promise<ForwardResult> => {
     if (accepted.isNested) return forwardNested(accepted, call);
     const started = throttle.start(kindOf(accepted));
-    if (!started) return { answer: refuse('priority-cutoff'), attempts: 0, host: undefined };
+    if (!started) return notSent(refuse('priority-cutoff'));
     const result = await forwarder.forward(call);
     const { answer } = result;
     if (answer.kind === 'answer' || answer.reason !== 'caller-gone') {
@@ -128,12 +128,11 @@
       logger.log('bodyTooLong', { requestId: head.requestId, limitBytes });
     });
     if (!read.ok && read.error === 'caller-gone') return undefined;
-    if (!read.ok) return { answer: refuse(read.error), attempts: 0, host: undefined };
+    if (!read.ok) return notSent(refuse(read.error));
     const refusal = await passGate(account?.id);
-    if (refusal) return { answer: refusal, attempts: 0, host: undefined };
+    if (refusal) return notSent(refusal);
     return forwardThrottled(accepted, {
       route,
-      scope,
       finishedSiblings: accepted.parent?.finishedCalls() ?? 0,
       call: {
         requestId: head.requestId as string,
@@ -147,7 +146,7 @@
         repeatable: route.repeatable,
         method: request.method as string,
         target: request.url as string,
-        headers: withoutHeaders(forwardableHeaders(request.rawHeaders), protocol.reservedNames),
+        headers: forwardableHeaders(request.rawHeaders, { without: protocol.reservedNames }),
         body: read.value,
         scope,
       },
@@ -162,18 +161,18 @@
   ): Promise<number> => {
     const { answer } = result;
     if (answer.kind === 'refusal') return reject(request, response, answer, accepted.rank);
-    const headers = withoutHeaders(answer.headers, protocol.answerOnlyNames);
-    await writeAnswer(response, { ...answer, headers }, endHeaders(request));
+    await writeAnswer(response, answer, endHeaders(request));
     return answer.status;
   };
 
   const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const arrivedMilliseconds = clock.monotonicMilliseconds();
-    const accepted = acceptor.accept(request);
+    const head = protocol.readRequest(request.headers);
+    const accepted = acceptor.accept(request, head);
     if (!accepted.ok) {
       const status = reject(request, response, accepted.error, 0);
       logger.log('callRejected', {
-        requestId: protocol.readRequest(request.headers).requestId,
+        requestId: head.requestId,
         reason: accepted.error.reason,
         status,
         policyRevision: policy.current()?.revision,
@@ -184,7 +183,7 @@
     if (!result) return;
     const status = await finish(request, response, accepted.value, result);
     const milliseconds = Math.round(clock.monotonicMilliseconds() - arrivedMilliseconds);
-    const { account, entry, head } = accepted.value;
+    const { account, entry } = accepted.value;
     const { answer, attempts, host } = result;
     metrics.observeCall(entry.route.name, status, milliseconds);
     logger.log(isSuccess(answer) ? 'callAnswered' : 'callFailedFinally', {
@@ -207,10 +206,8 @@
     inProgress: () => running,
     handle: async (request, response) => {
       running += 1;
-      let isCounted = true;
       response.once('close', () => {
-        if (isCounted) running -= 1;
-        isCounted = false;
+        running -= 1;
       });
       await serve(request, response);
     },
--- a/packages/sidecar/src/lib/entry/createForwarder.ts
+++ b/packages/sidecar/src/lib/entry/createForwarder.ts
@@ -1,5 +1,5 @@
 import type { Refusal } from '@buckthornslip/calls';
-import { refuse } from '@buckthornslip/calls';
+import { isServerError, refuse } from '@buckthornslip/calls';
 import type { RefusalReason } from '@buckthornslip/common';
 import type { Member } from '@buckthornslip/membership';
 import type { AttemptReport } from '@buckthornslip/routing';
@@ -23,8 +23,6 @@
 /** Time that another attempt must have left, in milliseconds. */
 const SHORTEST_ATTEMPT_MILLISECONDS = 20;
 
-const SERVER_ERROR = 500;
-
 /** Refusals of a serving node after which another node may serve the call. */
 const NODE_REASONS: ReadonlySet<RefusalReason> = new Set<RefusalReason>([
   'no-upstream',
@@ -47,7 +45,7 @@
 type ReportOutcome = AttemptReport['outcome'];
 
 function reportOutcome(answer: UpstreamAnswer | Refusal): ReportOutcome {
-  if (answer.kind === 'answer') return answer.status >= SERVER_ERROR ? 'errored' : 'answered';
+  if (answer.kind === 'answer') return isServerError(answer.status) ? 'errored' : 'answered';
   if (answer.reason === 'caller-gone' || answer.reason === 'deadline-exceeded') return 'cancelled';
   const isFailure = answer.reason === 'peer-unreachable' || answer.reason === 'upstream-failed';
   return isFailure ? 'failed' : 'refused';
@@ -82,7 +80,8 @@
   };
 
   const mayRepeat = (entryCall: EntryCall, progress: CallProgress): boolean => {
-    const { call, route, scope } = entryCall;
+    const { call, route } = entryCall;
+    const { scope } = call;
     if (scope.cancelReason() !== undefined || progress.nodes() >= MOST_NODES) return false;
     if (scope.remainingMilliseconds() < SHORTEST_ATTEMPT_MILLISECONDS) return false;
     if (call.body.kind === 'stream') return false;
@@ -92,7 +91,7 @@
   };
 
   const isWorthRepeating = (answer: UpstreamAnswer | Refusal): boolean => {
-    if (answer.kind === 'answer') return answer.status >= SERVER_ERROR;
+    if (answer.kind === 'answer') return isServerError(answer.status);
     return NODE_REASONS.has(answer.reason);
   };
 
@@ -106,7 +105,8 @@
   };
 
   const forward = async (entryCall: EntryCall): Promise<ForwardResult> => {
-    const { call, scope } = entryCall;
+    const { call } = entryCall;
+    const { scope } = call;
     const progress = createCallProgress();
     let last: Refusal = refuse('no-upstream');
     retries.countFirstAttempt(call.service);
--- a/packages/sidecar/src/lib/entry/createRequestAcceptor.ts
+++ b/packages/sidecar/src/lib/entry/createRequestAcceptor.ts
@@ -14,7 +14,11 @@
 
 /** Decides by the policy in force whether a request may go on. */
 export interface RequestAcceptor {
-  readonly accept: (request: IncomingMessage) => Result<AcceptedRequest, Refusal>;
+  /** @param head - What the headers of the request say. */
+  readonly accept: (
+    request: IncomingMessage,
+    head: RequestHead,
+  ) => Result<AcceptedRequest, Refusal>;
 }
 
 /**
@@ -25,7 +29,7 @@
  * @internal
  */
 export function createRequestAcceptor(options: EntryOptions): RequestAcceptor {
-  const { clock, policy, protocol } = options;
+  const { clock, policy } = options;
 
   const authenticate = (
     current: CallPolicy,
@@ -45,13 +49,15 @@
       remainingMilliseconds: head.timeoutMilliseconds ?? DEFAULT_TIMEOUT_MILLISECONDS,
     });
 
-  const accept = (request: IncomingMessage): Result<AcceptedRequest, Refusal> => {
+  const accept = (
+    request: IncomingMessage,
+    head: RequestHead,
+  ): Result<AcceptedRequest, Refusal> => {
     const current = policy.current();
     const routes = options.routes();
     if (!current || !routes) return failure(refuse('configuration-missing'));
     const entry = routes.match(request.headers.host ?? '', request.url ?? '');
     if (!entry) return failure(refuse('route-not-found'));
-    const head = protocol.readRequest(request.headers);
     if (head.requestId === undefined) return failure(refuse('header-invalid'));
     const account = authenticate(current, entry.route, head);
     if (!account.ok) return account;
--- a/packages/sidecar/src/lib/http/exchange.ts
+++ b/packages/sidecar/src/lib/http/exchange.ts
@@ -2,25 +2,14 @@
 import { request as httpRequest } from 'node:http';
 import type { Socket } from 'node:net';
 
+import { framingHeaders } from '@buckthornslip/calls';
+
 import type { ExchangeRequest } from './ExchangeRequest';
 import type { ExchangeFailure, ExchangeResult } from './ExchangeResult';
 
 /** Longest answer that is kept in memory until it is whole, in bytes. Longer ones are relayed as they arrive. */
 const BUFFERED_ANSWER_BYTES = 131_072;
 
-const BODILESS_METHODS = new Set(['GET', 'HEAD', 'DELETE', 'OPTIONS', 'TRACE']);
-
-function framedHeaders({ body, headers, method }: ExchangeRequest): string[] {
-  const framed = [...headers];
-  if (body.kind === 'stream') {
-    if (body.length === undefined) framed.push('Transfer-Encoding', 'chunked');
-    else framed.push('Content-Length', String(body.length));
-  } else if (body.bytes.length > 0 || !BODILESS_METHODS.has(method)) {
-    framed.push('Content-Length', String(body.bytes.length));
-  }
-  return framed;
-}
-
 function sendBody({ body }: ExchangeRequest, request: ClientRequest): void {
   if (body.kind === 'whole') {
     request.end(body.bytes.length > 0 ? body.bytes : undefined);
@@ -76,7 +65,7 @@
       port: agent.port,
       method,
       path: target,
-      headers: framedHeaders(exchanged),
+      headers: [...exchanged.headers, ...framingHeaders(method, exchanged.body)],
       setHost: false,
     });
 
--- a/packages/sidecar/src/lib/protocol/CallProtocol.ts
+++ b/packages/sidecar/src/lib/protocol/CallProtocol.ts
@@ -17,6 +17,4 @@
   readonly writeUpstreamHeaders: (headers: UpstreamHeaders) => string[];
   /** Names in lower case that a caller may not set; the system writes them itself. */
   readonly reservedNames: ReadonlySet<string>;
-  /** Names in lower case that concern the node alone and are not passed to the caller. */
-  readonly answerOnlyNames: ReadonlySet<string>;
 }
--- a/packages/sidecar/src/lib/serving/createServing.ts
+++ b/packages/sidecar/src/lib/serving/createServing.ts
@@ -4,7 +4,7 @@
   AdmissionTicket,
 } from '@buckthornslip/admission';
 import type { Refusal } from '@buckthornslip/calls';
-import { forwardableHeaders, refuse } from '@buckthornslip/calls';
+import { forwardableHeaders, isServerError, refuse } from '@buckthornslip/calls';
 import type { Clock, RefusalReason } from '@buckthornslip/common';
 import type { EventLogger } from '@buckthornslip/telemetry';
 
@@ -41,9 +41,6 @@
 
 type TicketOutcome = Parameters<AdmissionTicket['release']>[0];
 
-/** Smallest status of a failure of the upstream. */
-const SERVER_ERROR = 500;
-
 /** Hops that count for a nested call; its root has none. */
 const NESTED_DEPTH = 1;
 
@@ -125,7 +122,7 @@
   ): TicketOutcome => {
     if (result.kind === 'failed') return result.failure === 'cancelled' ? 'cancelled' : 'failed';
     if (answer.kind === 'refusal') return answer.reason === 'upstream-shed' ? 'shed' : 'failed';
-    return answer.status >= SERVER_ERROR ? 'failed' : 'completed';
+    return isServerError(answer.status) ? 'failed' : 'completed';
   };
 
   const run = async (
