sidecar, platform: contain malformed messages and unexpected errors

A handler that failed left its call without an answer and its permit taken.

sidecar: keep long answers under the deadline, and trust only the marker of an upstream for 'not run'

Cause: once a long answer had begun, its deadline no longer applied, so bytes without end were received until the caller closed. A 408, 429 or 503 of an upstream without its marker went to callers as it was, and they take it for 'not run'. Change: the scope of a call ends with its answer; such statuses become 502 without the signature. The rest of a withheld long answer is no longer left unread on a paused connection. Copies of earlier answers and refusals, and heads, trailers, extensions and interim answers without end, were already handled; the new tests show it.

--- a/packages/sidecar/src/lib/channel/createFrameConnection.ts
+++ b/packages/sidecar/src/lib/channel/createFrameConnection.ts
@@ -8,7 +8,10 @@
 
 /** Callbacks of a connection. */
 interface FrameListener {
+  /** If it throws, the connection is closed. */
   readonly onFrame: (frame: Frame, connection: FrameConnection) => void;
+  /** Called with an error thrown by `onFrame`. */
+  readonly onError: (kind: Frame['$case'], error: unknown) => void;
   /** Called once when the connection has ended. */
   readonly onClose: (connection: FrameConnection) => void;
 }
@@ -58,10 +61,19 @@
     listener.onClose(connection);
   }
 
+  const handle = (frame: Frame): void => {
+    try {
+      listener.onFrame(frame, connection);
+    } catch (error) {
+      listener.onError(frame.$case, error);
+      socket.destroy();
+    }
+  };
+
   socket.on('data', (chunk: Buffer) => {
     lastReceivedMilliseconds = clock.monotonicMilliseconds();
     const frames = reader.push(chunk);
-    if (frames) frames.forEach((frame) => listener.onFrame(frame, connection));
+    if (frames) frames.forEach(handle);
     else socket.destroy();
   });
   // The close event follows, and its listener handles the end of the connection.
--- a/packages/sidecar/src/lib/channel/createLinkConnector.ts
+++ b/packages/sidecar/src/lib/channel/createLinkConnector.ts
@@ -77,7 +77,10 @@
         logger.log('linkLost', { address });
         listener.onLost();
       };
-      const frames = createFrameConnection(clock, socket, { onFrame, onClose });
+      const onError = (kind: Frame['$case'], error: unknown): void => {
+        logger.log('frameFailed', { address, kind, error: String(error) });
+      };
+      const frames = createFrameConnection(clock, socket, { onFrame, onError, onClose });
       closeCurrent = frames.destroy;
       stopTimer = clock.setTimer(channelTimes.connectTimeout, frames.destroy);
       frames.send({ $case: 'hello', value: { host: self.host, incarnation: self.incarnation } });
--- a/packages/sidecar/src/lib/channel/createPeerLink.test.ts
+++ b/packages/sidecar/src/lib/channel/createPeerLink.test.ts
@@ -81,11 +81,14 @@
 
 async function startNode(incarnation: Incarnation, serve: PeerHandlers['serve']) {
   const self = { host: 'serving' as HostId, incarnation };
-  const listener = createPeerListener(clock, self, {
-    serve,
-    grant: async () => ({ tokens: 1, retryAfterMilliseconds: 0 }),
-    exchange: (fields) => fields,
-  });
+  const listener = createPeerListener(
+    { clock, logger: createSilentLogger(), self },
+    {
+      serve,
+      grant: async () => ({ tokens: 1, retryAfterMilliseconds: 0 }),
+      exchange: (fields) => fields,
+    },
+  );
   // The listener needs a known address: a server that is closed at once provides a free port.
   const probe = createServer();
   const address = await listenOnLoopback(probe);
@@ -311,3 +314,28 @@
   relay.close();
   node.close();
 });
+
+// Guards against an answer in parts that never ends and is received beyond the deadline of its call.
+void t.test('an answer in parts ends at the deadline of its call', async (test) => {
+  let isUpstreamClosed = false;
+  const node = await startNode(FIRST, async () => {
+    const rest = new Readable({ read: () => setImmediate(() => rest.push(Buffer.alloc(1_000))) });
+    rest.once('close', () => {
+      isUpstreamClosed = true;
+    });
+    return answerOf('head', rest);
+  });
+  const link = openLink(node.address);
+  const { answer } = await link.call(callOf({}, 300));
+  if (answer.kind !== 'answer' || !answer.rest) throw new Error('expected an answer in parts');
+  const { rest } = answer;
+  rest.resume();
+  await new Promise((resolve) => {
+    rest.once('close', resolve);
+  });
+  test.equal(rest.readableEnded, false, 'the answer does not appear complete');
+  await clock.sleep(100);
+  test.ok(isUpstreamClosed, 'the upstream response is closed as well');
+  link.close();
+  node.close();
+});
--- a/packages/sidecar/src/lib/channel/createPeerLink.ts
+++ b/packages/sidecar/src/lib/channel/createPeerLink.ts
@@ -180,7 +180,10 @@
             )
           : undefined;
       const settleCall = (result: AttemptResult): void => {
+        const rest = result.answer.kind === 'answer' ? result.answer.rest : undefined;
         stopListening();
+        // The rest of a long answer remains subject to the deadline of the call.
+        if (rest) scope.onCancel(() => rest.destroy());
         resolve(result);
       };
       calls.set(id, { call, incarnation, settle: settleCall, sender, receiver: undefined });
--- a/packages/sidecar/src/lib/channel/createPeerListener.ts
+++ b/packages/sidecar/src/lib/channel/createPeerListener.ts
@@ -2,6 +2,7 @@
 import { createServer } from 'node:net';
 
 import type { AccountId, Clock, NodeIdentity } from '@buckthornslip/common';
+import type { EventLogger } from '@buckthornslip/telemetry';
 import type { channelMessages } from '@buckthornslip/wire';
 
 import { listenAt } from '../http/listenAt';
@@ -19,20 +20,27 @@
   readonly close: () => void;
 }
 
+/** Dependencies of the listener. */
+interface PeerListenerOptions {
+  readonly clock: Clock;
+  readonly logger: EventLogger;
+  /** This node. */
+  readonly self: NodeIdentity;
+}
+
 /**
  * Creates the listener for other nodes.
  *
- * @param clock - Source of time.
- * @param self - This node.
+ * @param options - Clock, logger and identity of this node.
  * @param peerHandlers - Handlers of the messages of other nodes.
  * @returns A listener that is not listening yet.
  * @internal
  */
 export function createPeerListener(
-  clock: Clock,
-  self: NodeIdentity,
+  options: PeerListenerOptions,
   peerHandlers: PeerHandlers,
 ): PeerListener {
+  const { clock, logger, self } = options;
   const sessions = new Map<string, PeerSession>();
   const sockets = new Set<Socket>();
 
@@ -40,7 +48,7 @@
     const key = `${host}/${incarnation}`;
     const known = sessions.get(key);
     if (known) return known;
-    const created = createPeerSession(clock, peerHandlers, () => sessions.delete(key));
+    const created = createPeerSession({ clock, logger }, peerHandlers, () => sessions.delete(key));
     sessions.set(key, created);
     return created;
   };
@@ -64,9 +72,14 @@
       ledgerRequest: (message: channelMessages.LedgerRequest, connection) => {
         const { ahead, needed, sequence } = message;
         const account = message.account as AccountId;
-        void peerHandlers.grant({ account, needed, ahead }).then((grant) => {
-          connection.send({ $case: 'ledgerGrant', value: { sequence, ...grant } });
-        });
+        void peerHandlers
+          .grant({ account, needed, ahead })
+          .then((grant) => {
+            connection.send({ $case: 'ledgerGrant', value: { sequence, ...grant } });
+          })
+          .catch((error: unknown) => {
+            logger.log('frameFailed', { kind: 'ledgerRequest', error: String(error) });
+          });
       },
       exchange: ({ sequence, ...fields }: channelMessages.Exchange, connection) => {
         const answer = peerHandlers.exchange(fields);
@@ -76,6 +89,7 @@
     sockets.add(socket);
     createFrameConnection(clock, socket, {
       onFrame: (frame, connection) => handlers[frame.$case]?.(frame.value as never, connection),
+      onError: (kind, error) => logger.log('frameFailed', { kind, error: String(error) }),
       onClose: (connection) => {
         sockets.delete(socket);
         session?.detach(connection);
--- a/packages/sidecar/src/lib/channel/createPeerSession.ts
+++ b/packages/sidecar/src/lib/channel/createPeerSession.ts
@@ -1,6 +1,7 @@
 import { createCallScope, refuse } from '@buckthornslip/calls';
 import type { CallScope } from '@buckthornslip/calls';
 import type { Clock, Outcome } from '@buckthornslip/common';
+import type { EventLogger } from '@buckthornslip/telemetry';
 import type { channelMessages } from '@buckthornslip/wire';
 
 import type { RequestBody } from '../http/RequestBody';
@@ -41,24 +42,36 @@
   readonly onBodyCredit: (message: channelMessages.BodyCredit) => void;
 }
 
+/** Dependencies of a session. */
+interface PeerSessionDependencies {
+  readonly clock: Clock;
+  readonly logger: EventLogger;
+}
+
 function refused(outcome: Outcome): AttemptResult {
   return { answer: refuse('peer-unreachable', outcome), load: undefined };
 }
 
+/** Result of a call whose handler failed at an unknown point. */
+function failed(): AttemptResult {
+  return { answer: refuse('upstream-failed', 'may-have-run'), load: undefined };
+}
+
 /**
  * Creates the session of another node's process.
  *
- * @param clock - Source of time.
+ * @param dependencies - Clock and logger.
  * @param handlers - Handlers of the messages of other nodes.
  * @param onAbandoned - Called when the other node has not reconnected in time.
  * @returns The session, without a connection.
  * @internal
  */
 export function createPeerSession(
-  clock: Clock,
+  dependencies: PeerSessionDependencies,
   handlers: PeerHandlers,
   onAbandoned: () => void,
 ): PeerSession {
+  const { clock, logger } = dependencies;
   const attempts = new Map<number, Attempt>();
   const retainedAnswers: { readonly id: number; readonly untilMilliseconds: number }[] = [];
   let connection: FrameConnection | undefined;
@@ -93,7 +106,9 @@
   };
 
   const finish = (id: number, attempt: Attempt, result: AttemptResult): void => {
-    attempt.scope.end();
+    const rest = result.answer.kind === 'answer' ? result.answer.rest : undefined;
+    if (rest) rest.once('close', attempt.scope.end);
+    else attempt.scope.end();
     Object.assign(attempt, { result });
     send(id, result);
     sendRest(id, attempt, result);
@@ -152,6 +167,11 @@
       const body = bodyOf(message, receiver);
       void handlers
         .serve({ ...fromCallMessage(message), body, scope })
+        .catch((error: unknown) => {
+          const { requestId } = message;
+          logger.log('unexpectedError', { during: 'call', requestId, error: String(error) });
+          return failed();
+        })
         .then((result) => finish(id, attempt, result));
     },
     onResume: ({ id }) => {
--- a/packages/sidecar/src/lib/directory/createMemberDirectory.test.ts
+++ b/packages/sidecar/src/lib/directory/createMemberDirectory.test.ts
@@ -14,6 +14,8 @@
 /** Time until the others rediscover a node, in milliseconds: several rounds of exchanges. */
 const REDISCOVERY_MILLISECONDS = 4 * directoryTimes.exchangeInterval;
 
+const addressOf = (host: string): string => `${host}:7000`;
+
 function createMember(host: string, incarnation: number): Member {
   return {
     host: host as HostId,
@@ -22,8 +24,8 @@
     service: SERVICE,
     region: 'region' as RegionId,
     zone: 'zone' as ZoneId,
-    peerAddress: host,
-    controlAddress: host,
+    peerAddress: addressOf(host),
+    controlAddress: addressOf(host),
     slots: 10,
     connections: 10,
     state: 'ready',
@@ -48,7 +50,9 @@
       store,
       peers: {
         exchange: async (address, message) =>
-          unreachable.has(address) ? undefined : directories.get(address)?.receive(message),
+          [...unreachable].some((name) => addressOf(name) === address)
+            ? undefined
+            : directories.get(address.split(':')[0] as string)?.receive(message),
       },
       logger: createSilentLogger(),
       policyRevision: () => 0,
--- a/packages/sidecar/src/lib/directory/memberMessages.ts
+++ b/packages/sidecar/src/lib/directory/memberMessages.ts
@@ -2,6 +2,8 @@
 import type { Member, MemberState } from '@buckthornslip/membership';
 import type { channelMessages } from '@buckthornslip/wire';
 
+import { isAddress } from './isAddress';
+
 const STATES: Readonly<Record<string, MemberState>> = {
   starting: 'starting',
   ready: 'ready',
@@ -20,10 +22,12 @@
 
 /**
  * @param message - A member record in wire form.
- * @returns The record; an unknown state of a later release is read as "starting".
+ * @returns The record, or undefined if it names no host or no usable address. An unknown state of a later release is read
+ *   as "starting".
  * @internal
  */
-export function fromMemberMessage(message: channelMessages.Member): Member {
+export function fromMemberMessage(message: channelMessages.Member): Member | undefined {
+  if (message.host === '' || !isAddress(message.peerAddress)) return undefined;
   return {
     host: message.host as HostId,
     incarnation: message.incarnation as Incarnation,
--- /dev/null
+++ b/packages/sidecar/src/lib/directory/memberRecords.test.ts
@@ -0,0 +1,56 @@
+import type { HostId, Incarnation, RegionId, ServiceId, ZoneId } from '@buckthornslip/common';
+import type { Member } from '@buckthornslip/membership';
+import fc from 'fast-check';
+import t from 'tap';
+
+import { fromMemberMessage, toMemberMessage } from './memberMessages';
+import { parseMember } from './parseMember';
+
+const SEED = 20_261_204;
+
+const member: Member = {
+  host: 'host' as HostId,
+  incarnation: 1 as Incarnation,
+  version: 1,
+  service: 'service' as ServiceId,
+  region: 'region' as RegionId,
+  zone: 'zone' as ZoneId,
+  peerAddress: '10.0.0.1:7000',
+  controlAddress: '10.0.0.1:7000',
+  slots: 10,
+  connections: 10,
+  state: 'ready',
+  alive: true,
+};
+
+void t.test('a valid record is decoded unchanged', async (test) => {
+  test.same(parseMember(JSON.parse(JSON.stringify(member))), member);
+  test.same(fromMemberMessage(toMemberMessage(member)), member);
+});
+
+// Guards against a record whose address can't be connected to: opening a socket to it throws, which ended the process.
+void t.test('a record with an unusable address is rejected', async (test) => {
+  for (const peerAddress of ['', 'host', '10.0.0.1:', '10.0.0.1:70000', '10.0.0.1:x', ':7000']) {
+    test.equal(parseMember({ ...member, peerAddress }), undefined, `stored: "${peerAddress}"`);
+    const message = { ...toMemberMessage(member), peerAddress };
+    test.equal(fromMemberMessage(message), undefined, `received: "${peerAddress}"`);
+  }
+});
+
+// Guards against records of another writer that make the decoder throw.
+void t.test('the decoder accepts or rejects any value', async (test) => {
+  const anyField = fc.oneof(fc.jsonValue(), fc.constant(undefined));
+  fc.assert(
+    fc.property(fc.constantFrom(...Object.keys(member)), anyField, (name, value) => {
+      parseMember({ ...member, [name]: value });
+    }),
+    { seed: SEED, numRuns: 1_000 },
+  );
+  fc.assert(
+    fc.property(fc.jsonValue(), (value) => {
+      parseMember(value);
+    }),
+    { seed: SEED, numRuns: 1_000 },
+  );
+  test.pass('no input threw');
+});
--- a/packages/sidecar/src/lib/directory/parseMember.ts
+++ b/packages/sidecar/src/lib/directory/parseMember.ts
@@ -1,6 +1,8 @@
 import type { HostId, Incarnation, RegionId, ServiceId, ZoneId } from '@buckthornslip/common';
 import type { Member, MemberState } from '@buckthornslip/membership';
 
+import { isAddress } from './isAddress';
+
 const STATES: ReadonlySet<unknown> = new Set<MemberState>([
   'starting',
   'ready',
@@ -26,7 +28,7 @@
   const { controlAddress, host, peerAddress, region, service, state, zone } = record;
   const { connections, incarnation, slots, version } = record;
   const hasLocation = isText(host) && isText(region) && isText(zone);
-  const hasAddresses = isText(peerAddress) && isText(controlAddress);
+  const hasAddresses = isAddress(peerAddress) && isAddress(controlAddress);
   if (!hasLocation || !hasAddresses || !STATES.has(state)) return undefined;
   if (!isCount(incarnation) || !isCount(version) || !isCount(slots) || !isCount(connections)) {
     return undefined;
--- a/packages/sidecar/src/lib/entry/writeRefusal.ts
+++ b/packages/sidecar/src/lib/entry/writeRefusal.ts
@@ -3,14 +3,14 @@
 import type { Refusal } from '@buckthornslip/calls';
 import { refusalCatalogue } from '@buckthornslip/common';
 
+import { isNotRunStatus } from '../protocol/isNotRunStatus';
+
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Status of a call that may have run and has no response; statuses that mean "not run" must not be used for it. */
 const FAILED_STATUS = 502;
 const TIMEOUT_STATUS = 504;
 
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-
 /**
  * @param refusal - A refusal.
  * @returns Its status. A status that means "not run" is used only if the call certainly has not run.
@@ -19,7 +19,7 @@
 export function statusOf({ outcome, reason }: Refusal): number {
   const { status } = refusalCatalogue[reason];
   if (reason === 'deadline-exceeded') return TIMEOUT_STATUS;
-  if (outcome !== 'not-run') return NOT_RUN_STATUSES.has(status) ? FAILED_STATUS : status;
+  if (outcome !== 'not-run') return isNotRunStatus(status) ? FAILED_STATUS : status;
   // The call has not run and will not run, so the caller may retry even a call that must not run twice.
   return status === FAILED_STATUS ? 503 : status;
 }
@@ -52,7 +52,7 @@
     reason,
     ...headers,
   ];
-  if (NOT_RUN_STATUSES.has(status)) {
+  if (isNotRunStatus(status)) {
     all.push('Retry-After', (retryAfterMilliseconds / MILLISECONDS_PER_SECOND).toFixed(3));
   }
   response.writeHead(status, all);
--- a/packages/sidecar/src/lib/http/exchange.test.ts
+++ b/packages/sidecar/src/lib/http/exchange.test.ts
@@ -109,3 +109,190 @@
     test.match(await get(), { kind: 'failed', failure: 'foreign', sent: true });
   });
 });
+
+/** Answers each request with its path as the id, and lets the test write further bytes on the connection. */
+async function withEchoServer(
+  afterAnswer: (socket: Socket, id: string, requests: number) => void,
+  use: (get: (id: string) => Promise<ExchangeResult>) => Promise<void>,
+): Promise<void> {
+  let requests = 0;
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.on('data', (bytes: Buffer) => {
+      requests += 1;
+      const id = /^GET \/(\S*)/.exec(bytes.toString('latin1'))?.[1] ?? '';
+      afterAnswer(socket, id, requests);
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const pool = createConnectionPool({
+    address: `127.0.0.1:${port}`,
+    maximumConnections: 1,
+    idleMilliseconds: 1_000,
+    connectMilliseconds: 300,
+  });
+  const get = (id: string): Promise<ExchangeResult> => {
+    const scope = createCallScope(clock, 1_000);
+    return exchange({
+      pool,
+      method: 'GET',
+      target: `/${id}`,
+      headers: ['Host', 'calls.example'],
+      body: { kind: 'whole', bytes: Buffer.alloc(0) },
+      scope,
+      isExpectedResponse: ({ headers }) => headers['x-id'] === id,
+    }).finally(scope.end);
+  };
+  await use(get);
+  pool.close();
+  server.close();
+}
+
+function answerOf(id: string, status = 200): string {
+  return `HTTP/1.1 ${status} Status\r\nX-Id: ${id}\r\nContent-Length: ${id.length}\r\n\r\n${id}`;
+}
+
+// Guards against a second copy of an answer that arrives while the connection is in use again and is taken for the
+// answer to the next request.
+void t.test(
+  'a late copy of an earlier answer is not the answer to the next request',
+  async (test) => {
+    const copyWithNext = (socket: Socket, id: string, requests: number): void => {
+      if (requests === 1) socket.write(answerOf(id));
+      else {
+        socket.write(answerOf('first'));
+        setTimeout(() => socket.write(answerOf(id)), 20);
+      }
+    };
+    await withEchoServer(copyWithNext, async (get) => {
+      test.match(await get('first'), { kind: 'whole' });
+      test.match(await get('second'), { kind: 'failed', failure: 'foreign', sent: true });
+    });
+  },
+);
+
+// Guards against a copy that directly follows an answer in the same segment, also behind the head of the next answer.
+void t.test('bytes of another answer behind a complete one are never used', async (test) => {
+  const twoCopies = (socket: Socket, id: string): void => {
+    socket.write(`${answerOf(id)}${answerOf('first')}`);
+  };
+  await withEchoServer(twoCopies, async (get) => {
+    for (const id of ['first', 'second', 'third']) {
+      const result = await get(id);
+      test.equal(result.kind === 'whole' && result.body.toString(), id);
+    }
+  });
+});
+
+// Guards against reporting "not run" for a request that the upstream is running: a faulty upstream writes an earlier
+// refusal once more on the connection that carries the request.
+void t.test(
+  'a repeated refusal of an earlier request is no answer to the next one',
+  async (test) => {
+    const refuseOnce = (socket: Socket, id: string): void => {
+      socket.write(answerOf('refused', 503));
+      if (id !== 'refused') setTimeout(() => socket.write(answerOf(id)), 20);
+    };
+    await withEchoServer(refuseOnce, async (get) => {
+      const refused = await get('refused');
+      test.equal(refused.kind === 'whole' && refused.response.statusCode, 503);
+      test.match(await get('running'), { kind: 'failed', failure: 'foreign', sent: true });
+    });
+  },
+);
+
+const ENDLESS_PARTS: Readonly<Record<string, { readonly start: string; readonly part: string }>> = {
+  'bytes that are no head': { start: '', part: 'x'.repeat(1_024) },
+  'a status line without end': { start: 'HTTP/1.1 200 ', part: 'x'.repeat(1_024) },
+  'header lines without end': { start: 'HTTP/1.1 200 OK\r\n', part: `X: ${'x'.repeat(1_000)}\r\n` },
+  'interim answers without end': { start: '', part: 'HTTP/1.1 103 Early Hints\r\n\r\n' },
+  'a chunk extension without end': {
+    start: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;',
+    part: 'x'.repeat(1_024),
+  },
+  'trailers without end': {
+    start: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n',
+    part: `X: ${'x'.repeat(1_000)}\r\n`,
+  },
+};
+
+/** Writes parts until the other side closes the connection. */
+function writeEndlessly(socket: Socket, start: string, part: string): void {
+  const writeMore = (): void => {
+    while (!socket.destroyed && socket.write(part));
+  };
+  socket.write(start);
+  socket.on('drain', writeMore);
+  writeMore();
+}
+
+// Guards against an upstream that sends bytes without end: the request must end in time, and the connection must be
+// closed.
+for (const [name, { part, start }] of Object.entries(ENDLESS_PARTS)) {
+  void t.test(`an upstream that sends ${name} costs one failed exchange`, async (test) => {
+    let closed: Promise<unknown> | undefined;
+    const answer = (socket: Socket): void => {
+      closed = new Promise((resolve) => {
+        socket.once('close', resolve);
+      });
+      writeEndlessly(socket, start, part);
+    };
+    await withServer(answer, async (get) => {
+      const startedMilliseconds = clock.monotonicMilliseconds();
+      test.match(await get(), { kind: 'failed', sent: true });
+      test.ok(clock.monotonicMilliseconds() - startedMilliseconds < 1_500, 'ends by its deadline');
+      await closed;
+    });
+  });
+}
+
+// Guards against a long response that never ends and is received beyond the deadline of its request.
+void t.test('a response without end is cut off at the deadline', async (test) => {
+  let closed: Promise<unknown> | undefined;
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    closed = new Promise((resolve) => {
+      socket.once('close', resolve);
+    });
+    socket.once('data', () => writeEndlessly(socket, UNFRAMED, 'x'.repeat(65_536)));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const pool = createConnectionPool({
+    address: `127.0.0.1:${port}`,
+    maximumConnections: 1,
+    idleMilliseconds: 1_000,
+    connectMilliseconds: 300,
+  });
+  const scope = createCallScope(clock, 500);
+  const result = await exchange({
+    pool,
+    method: 'GET',
+    target: '/',
+    headers: ['Host', 'calls.example'],
+    body: { kind: 'whole', bytes: Buffer.alloc(0) },
+    scope,
+    isExpectedResponse: () => true,
+  });
+  test.equal(result.kind, 'stream');
+  if (result.kind !== 'stream') return;
+  let bytes = 0;
+  result.response.on('error', () => undefined);
+  result.response.on('data', (chunk: Buffer) => {
+    bytes += chunk.length;
+  });
+  result.response.resume();
+  await new Promise((resolve) => {
+    result.response.once('close', resolve);
+  });
+  test.ok(bytes > 0);
+  test.equal(result.response.readableEnded, false, 'the response does not appear complete');
+  await closed;
+  scope.end();
+  server.close();
+});
--- a/packages/sidecar/src/lib/http/exchange.ts
+++ b/packages/sidecar/src/lib/http/exchange.ts
@@ -73,7 +73,9 @@
       if (isSettled) return;
       isSettled = true;
       clearTimeout(connectTimer);
-      stopListening?.();
+      // A response that is still being received remains subject to the deadline.
+      if (result.kind === 'stream') request.once('close', () => stopListening?.());
+      else stopListening?.();
       resolve(result);
     };
     const fail = (failure: ExchangeFailure): void => {
--- a/packages/sidecar/src/lib/peers/exchangeCodec.ts
+++ b/packages/sidecar/src/lib/peers/exchangeCodec.ts
@@ -1,3 +1,5 @@
+import type { Member } from '@buckthornslip/membership';
+
 import type { ExchangeFields } from '../channel/PeerLink';
 import type { DirectoryMessage } from '../directory/DirectoryMessage';
 import { fromMemberMessage, toMemberMessage } from '../directory/memberMessages';
@@ -28,15 +30,18 @@
 
 /**
  * @param fields - A directory message in wire form.
- * @returns The message, or undefined if it lacks the sender's record.
+ * @returns The message without malformed records, or undefined if the sender's own record is missing or malformed.
  * @internal
  */
 export function fromExchangeFields(fields: ExchangeFields): DirectoryMessage | undefined {
-  if (!fields.from) return undefined;
+  const from = fields.from && fromMemberMessage(fields.from);
+  if (!from) return undefined;
   return {
-    from: fromMemberMessage(fields.from),
+    from,
     digest: fields.digest,
     policyRevision: fields.policyRevision,
-    members: fields.members.map(fromMemberMessage),
+    members: fields.members
+      .map(fromMemberMessage)
+      .filter((member): member is Member => member !== undefined),
   };
 }
--- a/packages/sidecar/src/lib/process/createCallerListener.ts
+++ b/packages/sidecar/src/lib/process/createCallerListener.ts
@@ -6,6 +6,8 @@
 
 import { listenAt } from '../http/listenAt';
 
+const UNKNOWN_OUTCOME_STATUS = 502;
+
 /** HTTP listener for requests of callers and of the local upstream. */
 export interface CallerListener {
   readonly server: Server;
@@ -22,6 +24,16 @@
  */
 const IDLE_MARGIN_MILLISECONDS = 2_000;
 
+/** Ends a response after an unexpected error. The call may have run, so the status promises nothing. */
+function endAfterError(response: ServerResponse): void {
+  if (response.headersSent) {
+    response.destroy();
+    return;
+  }
+  response.writeHead(UNKNOWN_OUTCOME_STATUS, { Connection: 'close', 'Content-Length': 0 });
+  response.end();
+}
+
 type Handler = (request: IncomingMessage, response: ServerResponse) => Promise<void>;
 
 /**
@@ -42,7 +54,7 @@
     (request, response) => {
       handle(request, response).catch((error: unknown) => {
         logger.log('callFailed', { error: error instanceof Error ? error.stack : String(error) });
-        response.destroy();
+        endAfterError(response);
       });
     },
   );
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -219,8 +219,7 @@
     return toExchangeFields(answer, fields.wantsPolicy ? policy.currentBytes() : undefined, false);
   };
   const peerListener = createPeerListener(
-    clock,
-    { host, incarnation },
+    { clock, logger, self: { host, incarnation } },
     { serve: callServer.serve, grant: ledger.grant, exchange: answerExchange },
   );
 
--- a/packages/sidecar/src/lib/serving/createCallServer.ts
+++ b/packages/sidecar/src/lib/serving/createCallServer.ts
@@ -13,6 +13,7 @@
 import type { ExchangeFailure, ExchangeResult } from '../http/ExchangeResult';
 import { priorityOfRank } from '../policy/priorityOfRank';
 import type { CallProtocol } from '../protocol/CallProtocol';
+import { isNotRunStatus } from '../protocol/isNotRunStatus';
 import type { RunningCalls } from './createRunningCalls';
 import type { AttemptResult, UpstreamResponse } from './AttemptResult';
 import type { CallAttempt } from './CallAttempt';
@@ -87,6 +88,14 @@
       return refuse('upstream-draining');
     }
     if (head.isNotRun) return refuse('upstream-shed');
+    if (isNotRunStatus(status)) {
+      logger.log('answerContradictory', {
+        upstream: view.instance.id,
+        requestId: head.requestId,
+        status,
+      });
+      return refuse('upstream-failed', 'may-have-run');
+    }
     if (status < 300 && !head.isSigned) {
       logger.log('answerUnsigned', {
         upstream: view.instance.id,
@@ -109,7 +118,12 @@
     view: UpstreamView,
     result: ExchangeResult,
   ): UpstreamResponse | Refusal => {
-    if (result.kind !== 'failed') return toResponse(view, result);
+    if (result.kind !== 'failed') {
+      const answer = toResponse(view, result);
+      // The rest of a withheld answer is not read.
+      if (answer.kind === 'refusal' && result.kind === 'stream') result.response.destroy();
+      return answer;
+    }
     const { failure, sent } = result;
     if (failure === 'unconnected') upstream.markLost();
     const reason = failure === 'cancelled' ? call.scope.cancelReason() : failureReasons[failure];
@@ -141,6 +155,10 @@
     });
     const now = clock.monotonicMilliseconds();
     const endRunning = running.add(call, now, now + remainingMilliseconds);
+    const release = (error: unknown): never => {
+      permit.release('failed');
+      throw error;
+    };
     const result = await exchange({
       pool: poolOf(view.instance.address),
       method: call.method,
@@ -150,8 +168,9 @@
       scope: call.scope,
       isExpectedResponse: (response) =>
         protocol.readResponse(response.headers).requestId === requestId,
-    });
-    endRunning();
+    })
+      .catch(release)
+      .finally(endRunning);
     const answer = toAnswer(call, view, result);
     const outcome = permitOutcome(result, answer);
     if (answer.kind === 'answer' && answer.rest)
--- a/packages/telemetry/src/lib/events/processEvents.ts
+++ b/packages/telemetry/src/lib/events/processEvents.ts
@@ -14,5 +14,11 @@
     message: 'time limit of the graceful stop reached; calls in progress are aborted',
     action: 'Raise stop_limit_milliseconds, or look for calls that never end.',
   },
+  unexpectedError: {
+    number: 6004,
+    level: 'error',
+    message: 'unexpected error; the process continues',
+    action: 'Report the error with its stack.',
+  },
   processStopped: { number: 6002, level: 'info', message: 'graceful stop finished' },
 } as const satisfies Record<string, EventDefinition>;
--- a/packages/telemetry/src/lib/events/sidecarEvents.ts
+++ b/packages/telemetry/src/lib/events/sidecarEvents.ts
@@ -21,6 +21,12 @@
     level: 'warn',
     message: 'upstream sent a successful response without its signature; the response was withheld',
   },
+  answerContradictory: {
+    number: 7008,
+    level: 'warn',
+    message:
+      'upstream sent a status that means "not run" without stating that it has not run; the response was withheld',
+  },
   bodyTooLong: {
     number: 7007,
     level: 'info',
@@ -77,6 +83,12 @@
     level: 'warn',
     message: 'connection to another node stopped responding',
   },
+  frameFailed: {
+    number: 7207,
+    level: 'error',
+    message: 'message of another node could not be handled; its connection was closed',
+    action: 'Report the error.',
+  },
   ledgerUnreachable: { number: 7400, level: 'warn', message: 'account ledger does not respond' },
   settingsReloaded: { number: 7500, level: 'info', message: 'settings file read again' },
   settingsRejected: {
