sidecar: spread member records and policies through zone relays

Cause: each node exchanged whole member lists with every other at each start, sent each change of its upstream to all, and watched the policy in the store. Records are protobuf under nodes/ZONE/HOST, lists may be stale, and a node whose relays are silent follows the store itself.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -19,5 +19,6 @@
 export type { StoreEvent } from './lib/store/StoreEvent';
 export type { StoreLease } from './lib/store/StoreLease';
 export type { StoreLeaseId } from './lib/store/StoreLeaseId';
+export type { StoreListOptions } from './lib/store/StoreListOptions';
 export type { StoreListing } from './lib/store/StoreListing';
 export type { StoreRevision } from './lib/store/StoreRevision';
--- a/packages/platform/src/lib/store/Store.ts
+++ b/packages/platform/src/lib/store/Store.ts
@@ -7,6 +7,7 @@
 import type { StoreLease } from './StoreLease';
 import type { StoreLeaseId } from './StoreLeaseId';
 import type { StoreListing } from './StoreListing';
+import type { StoreListOptions } from './StoreListOptions';
 import type { StoreRevision } from './StoreRevision';
 
 /**
@@ -18,8 +19,15 @@
   /** @returns The entry, or undefined if the key is absent. */
   readonly get: (key: string) => Promise<Result<StoreEntry | undefined, StoreError>>;
 
-  /** @returns All entries whose key starts with the prefix, sorted by key. */
-  readonly list: (prefix: string) => Promise<Result<StoreListing, StoreError>>;
+  /**
+   * @param prefix - Prefix of the keys.
+   * @param options - Whether an older state is good enough.
+   * @returns All entries whose key starts with the prefix, sorted by key.
+   */
+  readonly list: (
+    prefix: string,
+    options?: StoreListOptions,
+  ) => Promise<Result<StoreListing, StoreError>>;
 
   /**
    * Writes a key if it is at the expected revision.
--- a/packages/sidecar/src/lib/channel/malformedMessages.test.ts
+++ b/packages/sidecar/src/lib/channel/malformedMessages.test.ts
@@ -121,6 +121,7 @@
     members: [],
     wantsPolicy: false,
     policy: Buffer.alloc(0),
+    update: false,
   };
   test.equal(await node.link.exchange(fields), undefined);
   isFailing = false;
--- a/packages/sidecar/src/lib/directory/DirectoryMessage.ts
+++ b/packages/sidecar/src/lib/directory/DirectoryMessage.ts
@@ -1,7 +1,8 @@
 import type { Member } from '@buckthornslip/membership';
 
 /**
- * Message of an anti-entropy exchange, in which two nodes compare their member tables.
+ * Message between two nodes: either an anti-entropy exchange, in which they compare their member tables, or an update that
+ * only passes changes on.
  *
  * @internal
  */
@@ -12,6 +13,7 @@
   readonly digest: string;
   /** Revision of the sender's current policy; 0 if it has none. */
   readonly policyRevision: number;
-  /** The sender's live members if the digests differ; otherwise empty. */
+  /** Changed records in an update. In the answer to an exchange, all records if the digests differ. */
   readonly members: readonly Member[];
+  readonly isUpdate: boolean;
 }
--- a/packages/sidecar/src/lib/directory/MemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/MemberDirectory.ts
@@ -6,7 +6,8 @@
 export type SelfUpdate = Partial<Pick<Member, 'service' | 'slots' | 'connections' | 'state'>>;
 
 /**
- * All known nodes. Nodes discover each other through records in the store and then communicate directly.
+ * All known nodes. Nodes discover each other through records in the store and then communicate directly, through the
+ * relays of their zones.
  *
  * @public
  */
@@ -18,6 +19,8 @@
   readonly start: () => void;
   /** Changes this node's record and sends it to the other nodes. */
   readonly update: (change: SelfUpdate) => void;
+  /** Passes the revision of the current policy on, if this node is a relay. */
+  readonly announcePolicy: () => void;
   /** @returns All other nodes that are considered alive. */
   readonly livePeers: () => readonly Member[];
   /** @returns A number that increases with each change of a node's record or liveness, including this node's. */
--- a/packages/sidecar/src/lib/directory/createMemberDirectory.test.ts
+++ b/packages/sidecar/src/lib/directory/createMemberDirectory.test.ts
@@ -1,86 +1,17 @@
-import type { HostId, Incarnation, RegionId, ServiceId, ZoneId } from '@buckthornslip/common';
-import { createFakeClock, createSeededRandom } from '@buckthornslip/common';
-import type { Member } from '@buckthornslip/membership';
-import { createMemoryStore } from '@buckthornslip/platform';
-import { createSilentLogger } from '@buckthornslip/telemetry';
+import type { HostId } from '@buckthornslip/common';
 import t from 'tap';
 
-import { createMemberDirectory } from './createMemberDirectory';
+import { createDirectoryFleet, TEST_SERVICE as SERVICE } from '../testing/createDirectoryFleet';
 import { directoryTimes } from './directoryTimes';
-import type { MemberDirectory } from './MemberDirectory';
-
-const SERVICE = 'service' as ServiceId;
 
 /** Time until the others rediscover a node, in milliseconds: several rounds of exchanges. */
-const REDISCOVERY_MILLISECONDS = 4 * directoryTimes.exchangeInterval;
-
-const addressOf = (host: string): string => `${host}:7000`;
-
-function createMember(host: string, incarnation: number): Member {
-  return {
-    host: host as HostId,
-    incarnation: incarnation as Incarnation,
-    version: 1,
-    service: SERVICE,
-    region: 'region' as RegionId,
-    zone: 'zone' as ZoneId,
-    peerAddress: addressOf(host),
-    controlAddress: addressOf(host),
-    slots: 10,
-    connections: 10,
-    state: 'ready',
-    alive: true,
-  };
-}
-
-function createFleet(seed: number) {
-  const clock = createFakeClock();
-  const random = createSeededRandom(seed);
-  const store = createMemoryStore({ clock });
-  const directories = new Map<string, MemberDirectory>();
-  /** Hosts that receive no messages. */
-  const unreachable = new Set<string>();
-  let incarnation = 0;
-
-  const start = (host: string, ownIncarnation = (incarnation += 1)): MemberDirectory => {
-    const directory = createMemberDirectory({
-      self: createMember(host, ownIncarnation),
-      clock,
-      random,
-      store,
-      peers: {
-        exchange: async (address, message) =>
-          [...unreachable].some((name) => addressOf(name) === address)
-            ? undefined
-            : directories.get(address.split(':')[0] as string)?.receive(message),
-      },
-      logger: createSilentLogger(),
-      policyRevision: () => 0,
-      onNewerPolicy: () => undefined,
-    });
-    directories.set(host, directory);
-    directory.start();
-    return directory;
-  };
-  const end = (host: string): void => {
-    directories.get(host)?.close();
-    directories.delete(host);
-  };
-  /** Hosts that a node considers alive and ready, sorted. */
-  const usable = (host: string): string[] =>
-    (directories.get(host)?.members(SERVICE) ?? [])
-      .filter(({ alive, state }) => alive && state === 'ready')
-      .map((member) => member.host)
-      .sort();
-  const get = (host: string): MemberDirectory => directories.get(host) as MemberDirectory;
-  return { clock, store, unreachable, start, end, usable, get };
-}
+const REDISCOVERY_MILLISECONDS = 8 * directoryTimes.exchangeInterval;
 
 const HOSTS = ['a', 'b', 'c', 'd'];
 
 // Guards against nodes that start at the same time and don't read each other's records.
 void t.test('nodes that start together know each other within a second', async (test) => {
-  const fleet = createFleet(1);
+  const fleet = createDirectoryFleet(1);
   HOSTS.forEach((host) => fleet.start(host));
   await fleet.clock.advance(1_000);
   HOSTS.forEach((host) => test.same(fleet.usable(host), HOSTS, host));
@@ -88,7 +19,7 @@
 
 // Guards against nodes that start during a store outage and don't discover each other after it.
 void t.test('nodes that start during a store outage discover each other after it', async (test) => {
-  const fleet = createFleet(2);
+  const fleet = createDirectoryFleet(2);
   fleet.store.faults.setDown(true);
   HOSTS.forEach((host) => fleet.start(host));
   await fleet.clock.advance(8_000);
@@ -99,7 +30,7 @@
 
 // Guards against records whose leases expire during a long outage and that are not written again.
 void t.test('a record that expired during a store outage is restored within 2 s', async (test) => {
-  const fleet = createFleet(3);
+  const fleet = createDirectoryFleet(3);
   HOSTS.forEach((host) => fleet.start(host));
   await fleet.clock.advance(2_000);
   fleet.store.faults.setDown(true);
@@ -114,7 +45,7 @@
 // Guards against a node that knows no other node after its restart and is not contacted by the others.
 void t.test('a node that restarts during a store outage is rediscovered', async (test) => {
   for (const pause of [200, 10_000, 25_000]) {
-    const fleet = createFleet(4);
+    const fleet = createDirectoryFleet(4);
     HOSTS.forEach((host) => fleet.start(host));
     await fleet.clock.advance(2_000);
     fleet.store.faults.setDown(true);
@@ -129,7 +60,7 @@
 // Guards against the same failure after a graceful shutdown: the others know the node as departed.
 void t.test('a node that left and restarts during a store outage is rediscovered', async (test) => {
   for (const pause of [200, 10_000, 25_000]) {
-    const fleet = createFleet(5);
+    const fleet = createDirectoryFleet(5);
     HOSTS.forEach((host) => fleet.start(host));
     await fleet.clock.advance(2_000);
     fleet.store.faults.setDown(true);
@@ -146,7 +77,7 @@
 // Guards against ignoring a node whose clock was set back between two starts: its new records look older than its old
 // ones.
 void t.test('a node that restarts with a lower incarnation is accepted', async (test) => {
-  const fleet = createFleet(7);
+  const fleet = createDirectoryFleet(7);
   HOSTS.forEach((host) => fleet.start(host));
   await fleet.clock.advance(2_000);
   await fleet.get('b').leave();
@@ -159,7 +90,7 @@
 
 // Guards against calling a dead node indefinitely, and against keeping its record after the store has removed it.
 void t.test('a dead node is excluded once suspected and removed later', async (test) => {
-  const fleet = createFleet(6);
+  const fleet = createDirectoryFleet(6);
   HOSTS.forEach((host) => fleet.start(host));
   await fleet.clock.advance(2_000);
   fleet.end('a');
@@ -177,7 +108,7 @@
 
 // Guards against a node that missed a change and receives it only with the next random exchange.
 void t.test('a missed change is applied as soon as the node is suspected', async (test) => {
-  const fleet = createFleet(8);
+  const fleet = createDirectoryFleet(8);
   HOSTS.forEach((host) => fleet.start(host));
   await fleet.clock.advance(2_000);
   fleet.unreachable.add('a');
--- a/packages/sidecar/src/lib/directory/createMemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/createMemberDirectory.ts
@@ -1,16 +1,23 @@
 import type { Clock, HostId, Incarnation, RandomSource } from '@buckthornslip/common';
 import type { Member } from '@buckthornslip/membership';
-import type { Store } from '@buckthornslip/platform';
+import type { Store, StoreRevision } from '@buckthornslip/platform';
 import type { EventLogger } from '@buckthornslip/telemetry';
 import { filter, firstValueFrom, timeout, catchError, of } from 'rxjs';
 
+import type { Changes } from './createChangeBatch';
+import { createChangeBatch } from './createChangeBatch';
 import { createMemberTable } from './createMemberTable';
 import { createNodeRegistration } from './createNodeRegistration';
+import type { RecordListing } from './createRecordReader';
+import { createRecordReader, recordKey } from './createRecordReader';
+import { createRelayDuty } from './createRelayDuty';
+import { createZoneRelays } from './createZoneRelays';
 import type { DirectoryMessage } from './DirectoryMessage';
 import type { DirectoryPeers } from './DirectoryPeers';
+import { isNewerRecord } from './isNewerRecord';
 import { directoryTimes } from './directoryTimes';
 import type { MemberDirectory } from './MemberDirectory';
-import { parseMember } from './parseMember';
+import { encodeRecord } from './memberRecord';
 import { memoizeByRevision } from './memoizeByRevision';
 
 /** Dependencies and settings of the directory. */
@@ -26,25 +33,23 @@
   readonly policyRevision: () => number;
   /** Called when another node has a newer policy. */
   readonly onNewerPolicy: (peerAddress: string, message: DirectoryMessage) => void;
+  /** Called when this node starts or stops following the policy in the store, for itself and its zone. */
+  readonly onFollowPolicy: (follows: boolean) => void;
 }
 
-const RECORD_PREFIX = 'buckthornslip/nodes/';
-
 /** Consecutive failed exchanges after which a node is considered dead. A single one may be lost with its connection. */
 const FAILURES_UNTIL_DEAD = 2;
 
-function decodeMember(value: Uint8Array): Member | undefined {
-  try {
-    return parseMember(JSON.parse(Buffer.from(value).toString('utf8')));
-  } catch {
-    return undefined;
-  }
-}
+/** Removed nodes that are remembered, so that older tables of other nodes do not restore them. */
+const REMEMBERED_REMOVALS = 512;
 
 /**
- * Creates the member directory. Each node writes one record under a lease, then reads the others and announces itself
- * to them. As each node writes before it reads, at least one of any two nodes sees the other. Later changes are sent
- * directly from node to node, so that upstream changes cause no store calls.
+ * Creates the member directory. Each node writes one record under a lease and reads the records of its zone. As each node
+ * writes before it reads, at least one of any two nodes of a zone sees the other and greets it. A few relays in each zone
+ * read the records of the other zones. Later changes go from a node to the relays of its zone, from each of them to one
+ * relay of every other zone, and from the relays to the nodes of their zones; exchanges repair what was missed. So the
+ * number of messages between zones does not depend on the number of nodes that are told, and upstream changes cause no
+ * store calls.
  *
  * @param options - Dependencies, such as this node's record, the store and the client of the other nodes.
  * @returns The directory, not yet started.
@@ -53,30 +58,78 @@
 export function createMemberDirectory(options: MemberDirectoryOptions): MemberDirectory {
   const { clock, logger, onNewerPolicy, peers, policyRevision, random, store } = options;
   const table = createMemberTable();
+  const relays = createZoneRelays(table);
+  const records = createRecordReader({ clock, store, logger });
   const failures = new Map<HostId, number>();
   const lastSeen = new Map<HostId, number>();
+  const removed = new Map<HostId, Member>();
   const probing = new Set<HostId>();
   let { self } = options;
   let isClosed = false;
+  let wasRegistered = false;
   let rounds = 0;
   table.merge(self);
 
   const isSelf = ({ host }: Member): boolean => host === self.host;
+  const isInZone = ({ zone }: Member): boolean => zone === self.zone;
   const others = (): Member[] => table.all().filter((member) => !isSelf(member));
   const livePeers = memoizeByRevision(table.revision, () => others().filter(({ alive }) => alive));
+  const zonePeers = (): Member[] => livePeers().filter(isInZone);
+  const ownRank = (): number | undefined => relays.rankOf(self);
+  const isRelay = (): boolean => ownRank() !== undefined;
+  const otherRelays = (): Member[] => relays.of(self.zone).filter((member) => !isSelf(member));
+
+  /** The relay of the same rank in each other zone, so that each relay is told by one of every zone. */
+  const remoteRelays = (): Member[] =>
+    relays
+      .zones()
+      .filter((zone) => zone !== self.zone)
+      .flatMap((zone) => {
+        const ranked = relays.of(zone);
+        return ranked[(ownRank() ?? 0) % ranked.length] ?? [];
+      });
+
+  const duty = createRelayDuty({
+    clock,
+    logger,
+    isRelay,
+    onFollowPolicy: options.onFollowPolicy,
+  });
 
-  const message = (withMembers: boolean): DirectoryMessage => ({
+  const message = (members: readonly Member[], isUpdate: boolean): DirectoryMessage => ({
     from: self,
     digest: table.digest(),
     policyRevision: policyRevision(),
-    members: withMembers ? table.all().filter(({ alive }) => alive) : [],
+    members,
+    isUpdate,
   });
 
   const markSeen = (member: Member): void => {
     failures.delete(member.host);
     lastSeen.set(member.host, clock.monotonicMilliseconds());
     table.setAlive(member.host, true);
+    if (isInZone(member) && relays.rankOf(member) !== undefined) duty.recordRelayContact();
+  };
+
+  const passOn = ({ forOtherZones, forZone }: Changes): void => {
+    if (isClosed || !isRelay()) return;
+    zonePeers().forEach((member) => {
+      void sendUpdate(
+        member,
+        forZone.filter(({ host }) => host !== member.host),
+      );
+    });
+    if (forOtherZones.length > 0) {
+      remoteRelays().forEach((member) => {
+        void sendUpdate(member, forOtherZones);
+      });
+    }
   };
+  const changes = createChangeBatch({
+    clock,
+    delayMilliseconds: directoryTimes.changeDelay,
+    send: passOn,
+  });
 
   /**
    * Raises this node's incarnation above that of a record of an earlier process. If the clock was set back between two
@@ -89,18 +142,28 @@
     void changeSelf({ incarnation });
   };
 
-  const applyRecord = (member: Member, source: string): void => {
+  const wasRemoved = (member: Member): boolean => {
+    const known = removed.get(member.host);
+    return known !== undefined && !isNewerRecord(member, known);
+  };
+
+  const applyRecord = (member: Member, source: string, passesOn: boolean): void => {
     if (isSelf(member)) {
       supersede(member);
       return;
     }
+    const isFirstHand = source === 'itself';
+    if (!isFirstHand && source !== 'store' && wasRemoved(member)) return;
     const known = table.get(member.host);
     if (!table.merge(member)) return;
+    removed.delete(member.host);
     lastSeen.set(member.host, clock.monotonicMilliseconds());
+    if (passesOn) changes.add(member, isFirstHand && isInZone(member) ? 'all-zones' : 'zone');
     if (known?.state === member.state && known.incarnation === member.incarnation) return;
     const { host, incarnation, service, state, version } = member;
     logger.log('memberChanged', { host, incarnation, service, state, version, source });
-    if (known?.incarnation !== member.incarnation && source !== 'itself') void exchangeWith(member);
+    const isNew = known?.incarnation !== member.incarnation;
+    if (isNew && !isFirstHand && isInZone(member)) void sendUpdate(member, []);
   };
 
   const countFailure = (member: Member): void => {
@@ -112,37 +175,60 @@
       service: member.service,
       failures: count,
     });
+    const failedRelay = isInZone(member) && relays.rankOf(member) !== undefined;
     table.setAlive(member.host, false);
+    // The others may have failed with it, and this node may have to take over.
+    if (!failedRelay) return;
+    otherRelays().forEach((relay) => {
+      void probe(relay.host);
+    });
+  };
+
+  /** Relays usually read a new policy from the store themselves, so they fetch it from another zone only after a delay. */
+  const handleNewerPolicy = async (from: Member, revision: number): Promise<void> => {
+    if (!isInZone(from)) await clock.sleep(directoryTimes.remotePolicyDelay);
+    if (!isClosed && revision > policyRevision()) {
+      onNewerPolicy(from.peerAddress, message([], true));
+    }
   };
 
   const applyMessage = (received: DirectoryMessage): void => {
-    applyRecord(received.from, 'itself');
+    applyRecord(received.from, 'itself', isRelay());
     markSeen(received.from);
-    received.members.forEach((member) => applyRecord(member, received.from.host));
+    const passesOn = received.members.length > 0 && isRelay();
+    received.members.forEach((member) => applyRecord(member, received.from.host, passesOn));
     if (received.policyRevision > policyRevision()) {
-      onNewerPolicy(received.from.peerAddress, message(false));
+      void handleNewerPolicy(received.from, received.policyRevision);
     }
   };
 
-  async function exchangeWith(member: Member): Promise<boolean> {
-    const answer = await peers.exchange(member.peerAddress, message(false));
+  async function send(member: Member, sent: DirectoryMessage): Promise<boolean> {
+    const answer = await peers.exchange(member.peerAddress, sent);
     if (isClosed) return false;
     if (!answer) {
       countFailure(member);
       return false;
     }
     applyMessage(answer);
+    if (!sent.isUpdate && answer.members.length > 0) removeMissing(answer);
     return true;
   }
 
-  /** @returns A promise that resolves when all live nodes have answered or failed to answer. */
+  const exchangeWith = (member: Member): Promise<boolean> => send(member, message([], false));
+
+  function sendUpdate(member: Member, members: readonly Member[]): Promise<boolean> {
+    return send(member, message(members, true));
+  }
+
+  /** @returns A promise that resolves when all nodes that are told have answered or failed to answer. */
   async function changeSelf(change: Partial<Member>): Promise<void> {
     self = { ...self, ...change, version: self.version + 1 };
     table.merge(self);
-    await Promise.all(livePeers().map((member) => exchangeWith(member)));
+    const told = isRelay() ? [...zonePeers(), ...remoteRelays()] : otherRelays();
+    await Promise.all(told.map((member) => sendUpdate(member, [])));
   }
 
-  const probe = async (host: HostId): Promise<void> => {
+  async function probe(host: HostId): Promise<void> {
     const member = table.get(host);
     if (!member || isSelf(member) || probing.has(host)) return;
     probing.add(host);
@@ -150,60 +236,99 @@
       if (await exchangeWith(member)) break;
     }
     probing.delete(host);
+  }
+
+  const remove = (member: Member, cause: string): void => {
+    const { host, incarnation } = member;
+    table.remove(host);
+    removed.set(host, member);
+    const oldest = removed.keys().next().value;
+    if (removed.size > REMEMBERED_REMOVALS && oldest !== undefined) removed.delete(oldest);
+    logger.log('memberForgotten', { host, incarnation, cause });
   };
 
-  const readStore = async (): Promise<void> => {
-    const listing = await store.list(RECORD_PREFIX);
-    if (!listing.ok || isClosed) return;
-    const hosts = new Set<HostId>();
-    listing.value.entries.forEach((entry) => {
-      const member = decodeMember(entry.value);
-      if (!member) {
-        logger.log('recordRejected', { key: entry.key, revision: entry.revision });
-        return;
-      }
-      hosts.add(member.host);
-      applyRecord(member, 'store');
-    });
+  /** Removes nodes that a complete list does not contain and that have been silent for a long time. */
+  const removeAbsent = (hosts: ReadonlySet<HostId>, cause: string): void => {
     const removeBefore = clock.monotonicMilliseconds() - directoryTimes.removalTimeout;
     others()
       .filter(({ host }) => !hosts.has(host) && (lastSeen.get(host) ?? 0) < removeBefore)
-      .forEach(({ host }) => {
-        table.remove(host);
-        logger.log('memberForgotten', { host, storeRevision: listing.value.revision });
-      });
+      .forEach((member) => remove(member, cause));
+  };
+
+  /** The relays of a zone decide which nodes are removed; the other nodes of the zone follow their lists. */
+  function removeMissing({ from, members }: DirectoryMessage): void {
+    if (isRelay() || !isInZone(from) || relays.rankOf(from) === undefined) return;
+    removeAbsent(new Set(members.map(({ host }) => host)), 'missing at a relay');
+  }
+
+  const applyListing = ({ members }: RecordListing): void => {
+    const passesOn = isRelay();
+    members.forEach((member) => applyRecord(member, 'store', passesOn));
+  };
+
+  const readZone = async (minimumRevision: StoreRevision): Promise<void> => {
+    const listing = await records.read(self.zone, minimumRevision);
+    if (listing && !isClosed) applyListing(listing);
+  };
+
+  const readAllZones = async (): Promise<void> => {
+    const listing = await records.read(undefined, 0);
+    if (!listing || isClosed) return;
+    applyListing(listing);
+    removeAbsent(listing.hosts, 'no record in the store');
   };
 
   const registration = createNodeRegistration({
     clock,
     store,
     logger,
-    key: `${RECORD_PREFIX}${self.host}`,
-    value: () => Buffer.from(JSON.stringify(self)),
-    onWritten: () => {
-      void readStore();
+    key: recordKey(self),
+    value: () => encodeRecord(self),
+    onWritten: (revision) => {
+      // Other nodes may have removed this one after its earlier record expired; only a newer record restores it.
+      if (wasRegistered) void changeSelf({});
+      wasRegistered = true;
+      void readZone(revision).then(() => (isRelay() ? readAllZones() : undefined));
     },
   });
 
   const pickRandom = (members: readonly Member[]): Member | undefined =>
     members[random.nextInteger(Math.max(1, members.length))];
 
+  /**
+   * A node that restarted during a store outage knows no other node, so the others contact it, even if it had left
+   * gracefully before. Each zone cares for its own nodes, and its relays for all.
+   */
+  const pickDeparted = (): Member | undefined =>
+    pickRandom(
+      others().filter(
+        (member) => (!member.alive || member.state === 'left') && (isRelay() || isInZone(member)),
+      ),
+    );
+
+  const rotate = (members: readonly Member[]): Member | undefined =>
+    members[rounds % Math.max(1, members.length)];
+
+  /** Partners of one round of exchanges. */
+  const pickPartners = (): readonly (Member | undefined)[] => {
+    const own = isRelay() ? pickRandom(zonePeers()) : rotate(otherRelays());
+    const remote = isRelay() && rounds % 2 === 0 ? pickRandom(remoteRelays()) : undefined;
+    const departed = rounds % 2 === 1 ? pickDeparted() : undefined;
+    return [own ?? pickRandom(livePeers()), remote, departed];
+  };
+
+  const storeReadRounds = Math.round(
+    directoryTimes.storeReadInterval / directoryTimes.exchangeInterval,
+  );
+
   const exchangePeriodically = async (): Promise<void> => {
     while (!isClosed) {
       await clock.sleep(directoryTimes.exchangeInterval * (0.75 + random.next() / 2));
       rounds += 1;
-      const live = pickRandom(livePeers());
-      if (live) void exchangeWith(live);
-      // A node that restarted during a store outage knows no other node, so the others contact it, even if it had left
-      // gracefully before.
-      const dead = pickRandom(others().filter(({ alive, state }) => !alive || state === 'left'));
-      if (dead) void exchangeWith(dead);
-      if (
-        rounds % Math.round(directoryTimes.storeReadInterval / directoryTimes.exchangeInterval) ===
-        0
-      ) {
-        void readStore();
-      }
+      pickPartners().forEach((member) => {
+        if (member) void probe(member.host);
+      });
+      if (isRelay() && rounds % storeReadRounds === 0) void readAllZones();
     }
   };
 
@@ -230,17 +355,29 @@
     },
     start: () => {
       registration.start();
+      duty.start(readAllZones);
       void exchangePeriodically();
     },
     update: (change) => {
       void changeSelf(change);
     },
+    announcePolicy: () => {
+      if (!isRelay()) return;
+      [...zonePeers(), ...remoteRelays()].forEach((member) => {
+        void sendUpdate(member, []);
+      });
+    },
     livePeers,
     revision: table.revision,
-    currentMessage: () => message(false),
+    currentMessage: () => message([], true),
     receive: (received) => {
       applyMessage(received);
-      return message(received.digest !== table.digest());
+      const differs = received.digest !== table.digest();
+      if (differs && !received.isUpdate) return message(table.all(), false);
+      // A sender whose record is older than the known one of its host has to raise its incarnation.
+      const known = table.get(received.from.host);
+      const isOutranked = known !== undefined && isNewerRecord(known, received.from);
+      return message(isOutranked ? [known] : [], received.isUpdate);
     },
     leave: async () => {
       await changeSelf({ state: 'left' });
@@ -248,6 +385,7 @@
     },
     close: () => {
       isClosed = true;
+      duty.close();
       registration.close();
     },
   };
--- a/packages/sidecar/src/lib/directory/createMemberTable.ts
+++ b/packages/sidecar/src/lib/directory/createMemberTable.ts
@@ -2,7 +2,7 @@
 import type { Member } from '@buckthornslip/membership';
 import { Subject, type Observable } from 'rxjs';
 
-import { memoizeByRevision } from './memoizeByRevision';
+import { isNewerRecord } from './isNewerRecord';
 
 /**
  * Member records of all known nodes.
@@ -24,9 +24,9 @@
   readonly digest: () => string;
 }
 
-function isNewer(member: Member, known: Member): boolean {
-  if (member.incarnation !== known.incarnation) return member.incarnation > known.incarnation;
-  return member.version > known.version;
+/** Contribution of one record to the digest. */
+function digestPart({ incarnation, version }: Member): number {
+  return (incarnation % 1_000_003) * 31 + version * 7919;
 }
 
 /**
@@ -39,6 +39,8 @@
   const members = new Map<HostId, Member>();
   const subjects = new Map<ServiceId, Subject<readonly Member[]>>();
   let revision = 0;
+  /** Sum over all records, so that the digest need not be computed again after each change. */
+  let digestSum = 0;
 
   const ofService = (service: ServiceId): readonly Member[] =>
     [...members.values()].filter((member) => member.service === service);
@@ -48,21 +50,15 @@
   };
 
   const put = (member: Member): void => {
-    const previous = members.get(member.host)?.service;
+    const known = members.get(member.host);
+    const previous = known?.service;
+    digestSum += digestPart(member) - (known ? digestPart(known) : 0);
     members.set(member.host, member);
     revision += 1;
     emit(member.service);
     if (previous !== member.service) emit(previous);
   };
 
-  const computeDigest = (): string => {
-    let sum = 0;
-    members.forEach((member) => {
-      sum = (sum + Math.imul(member.incarnation % 1_000_003, 31) + member.version * 7919) % 2 ** 40;
-    });
-    return `${members.size}:${sum}`;
-  };
-
   return {
     get: (host) => members.get(host),
     all: () => [...members.values()],
@@ -74,7 +70,7 @@
     },
     merge: (member) => {
       const known = members.get(member.host);
-      if (known && !isNewer(member, known)) return false;
+      if (known && !isNewerRecord(member, known)) return false;
       put({ ...member, alive: true });
       return true;
     },
@@ -84,11 +80,12 @@
     },
     remove: (host) => {
       const known = members.get(host);
+      if (known) digestSum -= digestPart(known);
       members.delete(host);
       revision += 1;
       emit(known?.service);
     },
     revision: () => revision,
-    digest: memoizeByRevision(() => revision, computeDigest),
+    digest: () => `${members.size}:${digestSum}`,
   };
 }
--- a/packages/sidecar/src/lib/directory/createNodeRegistration.ts
+++ b/packages/sidecar/src/lib/directory/createNodeRegistration.ts
@@ -1,6 +1,6 @@
 import type { Clock, Result } from '@buckthornslip/common';
 import { failure } from '@buckthornslip/common';
-import type { Store, StoreError, StoreLeaseId } from '@buckthornslip/platform';
+import type { Store, StoreError, StoreLeaseId, StoreRevision } from '@buckthornslip/platform';
 import type { EventLogger } from '@buckthornslip/telemetry';
 
 import { directoryTimes } from './directoryTimes';
@@ -13,8 +13,8 @@
   /** @returns The value to write. */
   readonly value: () => Uint8Array;
   readonly logger: EventLogger;
-  /** Called each time the record has been written under a new lease. */
-  readonly onWritten: () => void;
+  /** Called with the revision of the record each time it has been written under a new lease. */
+  readonly onWritten: (revision: StoreRevision) => void;
 }
 
 /**
@@ -48,7 +48,7 @@
     logger.log(reachable ? 'storeRegained' : 'storeLost', { key, reason });
   };
 
-  const put = async (leaseId: StoreLeaseId): Promise<Result<unknown, StoreError>> => {
+  const put = async (leaseId: StoreLeaseId): Promise<Result<StoreRevision, StoreError>> => {
     const first = await store.compareAndSwap(key, 0, value(), leaseId);
     if (first.ok || first.error.kind !== 'conflict') return first;
     // The key holds the record of an earlier process on this host; replace it.
@@ -62,7 +62,7 @@
     const written = await put(granted.value.id);
     if (!written.ok) return written;
     lease = granted.value.id;
-    onWritten();
+    onWritten(written.value);
     return written;
   };
 
--- /dev/null
+++ b/packages/sidecar/src/lib/directory/createRecordReader.ts
@@ -0,0 +1,84 @@
+import type { Clock, HostId, ZoneId } from '@buckthornslip/common';
+import type { Member } from '@buckthornslip/membership';
+import type { Store } from '@buckthornslip/platform';
+import type { EventLogger } from '@buckthornslip/telemetry';
+
+import { directoryTimes } from './directoryTimes';
+import { decodeRecord } from './memberRecord';
+
+const RECORD_PREFIX = 'buckthornslip/nodes/';
+
+/** Reads of one request that may return a state older than this node's own record. */
+const MAXIMUM_READS = 4;
+
+/** Records of the store at one revision. */
+export interface RecordListing {
+  readonly members: readonly Member[];
+  readonly hosts: ReadonlySet<HostId>;
+  readonly revision: number;
+}
+
+/**
+ * Reads the records of nodes from the store.
+ *
+ * @internal
+ */
+export interface RecordReader {
+  /**
+   * @param zone - Zone whose records are read; undefined for all zones.
+   * @param minimumRevision - Oldest acceptable revision of the store.
+   * @returns The records, or undefined if they can't be read.
+   */
+  readonly read: (
+    zone: ZoneId | undefined,
+    minimumRevision: number,
+  ) => Promise<RecordListing | undefined>;
+}
+
+/** Dependencies of the reader. */
+interface RecordReaderOptions {
+  readonly clock: Clock;
+  readonly store: Store;
+  readonly logger: EventLogger;
+}
+
+/**
+ * @param member - A node.
+ * @returns Key of its record. The zone comes first, so that a node can read the records of its own zone.
+ * @internal
+ */
+export function recordKey({ host, zone }: Pick<Member, 'host' | 'zone'>): string {
+  return `${RECORD_PREFIX}${zone}/${host}`;
+}
+
+/**
+ * Creates the reader. It accepts stale reads, which are cheaper, and repeats a read that is older than required.
+ *
+ * @param options - Clock, store and logger.
+ * @returns The reader.
+ * @internal
+ */
+export function createRecordReader(options: RecordReaderOptions): RecordReader {
+  const { clock, logger, store } = options;
+  return {
+    read: async (zone, minimumRevision) => {
+      const prefix = zone === undefined ? RECORD_PREFIX : `${RECORD_PREFIX}${zone}/`;
+      for (let reads = 1; ; reads += 1) {
+        const mayBeStale = reads < MAXIMUM_READS;
+        const listing = await store.list(prefix, { mayBeStale });
+        if (!listing.ok) return undefined;
+        const { entries, revision } = listing.value;
+        if (revision >= minimumRevision || !mayBeStale) {
+          const members = entries.flatMap((entry) => {
+            const member = decodeRecord(entry.value);
+            if (member) return [member];
+            logger.log('recordRejected', { key: entry.key, revision: entry.revision });
+            return [];
+          });
+          return { members, hosts: new Set(members.map(({ host }) => host)), revision };
+        }
+        await clock.sleep(directoryTimes.staleReadDelay);
+      }
+    },
+  };
+}
--- a/packages/sidecar/src/lib/directory/directoryTimes.ts
+++ b/packages/sidecar/src/lib/directory/directoryTimes.ts
@@ -1,17 +1,25 @@
 /** Timeouts and intervals of the directory, in milliseconds. */
 export const directoryTimes = {
   /** Lease term of a node's record in the store; shorter store outages lose no records. */
-  leaseTerm: 15_000,
-  /** Interval between lease renewals; three of them may be lost. */
-  renewalInterval: 4_000,
+  leaseTerm: 30_000,
+  /** Interval between lease renewals; two of them may be lost. */
+  renewalInterval: 9_000,
   /** Delay after a failed store call; failed calls are charged like successful ones. */
   retryDelay: 1_000,
-  /** Mean interval between exchanges with a random node. */
-  exchangeInterval: 3_000,
+  /** Mean interval between a node's exchanges with the relays of its zone. */
+  exchangeInterval: 1_500,
+  /** Time for which a relay collects changes before it passes them on. */
+  changeDelay: 50,
+  /** Time after the start at which a node decides whether it is a relay; until then it may not know its zone. */
+  firstRoleDelay: 1_000,
+  /** Time without an answer of a relay of its zone after which a node follows the store itself. */
+  relayTimeout: 3_000,
+  /** Delay before a policy is fetched from another zone, because the relays usually read it from the store. */
+  remotePolicyDelay: 600,
   /** Time without contact after which a node that has no record in the store is removed. */
   removalTimeout: 20_000,
-  /** Interval between reads of all records in the store. */
+  /** Interval between a relay's reads of all records in the store. */
   storeReadInterval: 30_000,
-  /** Timeout of waiting for the first member of a service. */
-  firstMemberTimeout: 1_000,
+  /** Delay before records are read again if the store returned a state older than this node's own record. */
+  staleReadDelay: 250,
 } as const;
--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -82,7 +82,7 @@
       current: () => policy,
       currentBytes: () => undefined,
       offer: () => undefined,
-      start: () => undefined,
+      setFollowing: () => undefined,
       close: () => undefined,
     },
     routes: () => createRouteTable(policy, random),
--- a/packages/sidecar/src/lib/peers/exchangeCodec.ts
+++ b/packages/sidecar/src/lib/peers/exchangeCodec.ts
@@ -25,6 +25,7 @@
     members: message.members.map(toMemberMessage),
     wantsPolicy,
     policy: policy ? Buffer.from(policy) : NO_BYTES,
+    update: message.isUpdate,
   };
 }
 
@@ -40,6 +41,7 @@
     from,
     digest: fields.digest,
     policyRevision: fields.policyRevision,
+    isUpdate: fields.update,
     members: fields.members
       .map(fromMemberMessage)
       .filter((member): member is Member => member !== undefined),
--- a/packages/sidecar/src/lib/policy/PolicyWatcher.ts
+++ b/packages/sidecar/src/lib/policy/PolicyWatcher.ts
@@ -12,6 +12,7 @@
   readonly currentBytes: () => Uint8Array | undefined;
   /** Applies a policy received from another node if it is newer. */
   readonly offer: (bytes: Uint8Array, source: string) => void;
-  readonly start: () => void;
+  /** Starts or stops following the policy in the store. */
+  readonly setFollowing: (follows: boolean) => void;
   readonly close: () => void;
 }
--- a/packages/sidecar/src/lib/policy/createPolicyWatcher.ts
+++ b/packages/sidecar/src/lib/policy/createPolicyWatcher.ts
@@ -28,11 +28,11 @@
 const RETRY_MILLISECONDS = 400;
 
 /**
- * Creates the policy watcher. It reads the policy from the store once and then watches the key. Peers may provide a
- * newer policy, which keeps a node up to date while it can't reach the store.
+ * Creates the policy watcher. While it follows the store, it reads the policy once and then watches its key. Other nodes
+ * may provide a newer policy, which keeps a node up to date while it doesn't follow the store or can't reach it.
  *
  * @param options - Dependencies, such as the store, the decoder and the change listener.
- * @returns The watcher, not yet started.
+ * @returns The watcher, which does not follow the store yet.
  * @public
  */
 export function createPolicyWatcher(options: PolicyWatcherOptions): PolicyWatcher {
@@ -41,6 +41,8 @@
   let policyBytes: Uint8Array | undefined;
   let subscription: Subscription | undefined;
   let isClosed = false;
+  /** Number of the current run of the watch; an earlier run ends itself. */
+  let run = 0;
 
   const apply = (bytes: Uint8Array, source: string): void => {
     const decoded = decode(bytes);
@@ -80,9 +82,10 @@
     disconnected: () => setReachable(false),
   };
 
-  const readAndWatch = async (): Promise<void> => {
-    while (!isClosed) {
+  const readAndWatch = async (isCurrent: () => boolean): Promise<void> => {
+    while (isCurrent()) {
       const read = await store.get(key);
+      if (!isCurrent()) return;
       if (read.ok) {
         if (read.value) apply(read.value.value, 'store');
         const revision = read.value?.revision ?? 0;
@@ -99,8 +102,12 @@
     current: () => policy,
     currentBytes: () => policyBytes,
     offer: apply,
-    start: () => {
-      void readAndWatch();
+    setFollowing: (follows) => {
+      subscription?.unsubscribe();
+      subscription = undefined;
+      run += 1;
+      const own = run;
+      if (follows) void readAndWatch(() => !isClosed && run === own);
     },
     close: () => {
       isClosed = true;
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -111,9 +111,14 @@
     const answer = await links.get(address).exchange(fields);
     return answer && fromExchangeFields(answer);
   };
+  let isFetchingPolicy = false;
+  /** Several relays announce the same policy; it is fetched from one of them at a time. */
   const fetchPolicy = async (address: string, message: DirectoryMessage): Promise<void> => {
+    if (isFetchingPolicy) return;
+    isFetchingPolicy = true;
     const fields = toExchangeFields(message, undefined, true);
     const answer = await links.get(address).exchange(fields);
+    isFetchingPolicy = false;
     if (answer && answer.policy.length > 0) policy.offer(answer.policy, address);
   };
   const directory = createMemberDirectory({
@@ -127,6 +132,7 @@
     onNewerPolicy: (address, message) => {
       void fetchPolicy(address, message);
     },
+    onFollowPolicy: policy.setFollowing,
   });
 
   const onUpstreamChange = ({ instance, state }: UpstreamView): void => {
@@ -211,6 +217,7 @@
     priorityRanks = createPriorityRanks(next);
     upstreamConnections = next.services.get(service)?.connections ?? upstreamConnections;
     callers.apply(next.requestLimits);
+    directory.announcePolicy();
   }
 
   const answerExchange = (fields: ExchangeFields): ExchangeFields => {
@@ -284,7 +291,6 @@
     start: async () => {
       addGauges();
       await Promise.all([peerListener.listen(listeners.peers), callers.listen(listeners.callers)]);
-      policy.start();
       directory.start();
       logger.log('processStarted', { host, incarnation, region, zone, service });
     },
--- a/packages/telemetry/src/lib/events/sidecarEvents.ts
+++ b/packages/telemetry/src/lib/events/sidecarEvents.ts
@@ -66,6 +66,11 @@
     level: 'info',
     message: 'policies can be read from the store again',
   },
+  policyDutyChanged: {
+    number: 7306,
+    level: 'info',
+    message: 'node started or stopped following the policy in the store for itself and its zone',
+  },
   storeLost: {
     number: 7304,
     level: 'warn',
