sidecar: uploads are a kind of their own

Cause: routes of the type upload were treated as not repeatable because their type was unknown. Bodies above 64 KiB were streamed, so an upload that an upstream had refused could not be sent to another one, and a refusal before its end closed a connection on which its caller was still sending, which can reset it before the refusal is read. Change: the policy states the direction of large bodies; uploads up to 512 KiB are buffered, within 32 MiB for the process, longer ones are streamed as before.

--- a/packages/config/src/lib/policy/PolicyRoute.ts
+++ b/packages/config/src/lib/policy/PolicyRoute.ts
@@ -1,5 +1,8 @@
 import type { PolicyTarget } from './PolicyTarget';
 
+/** Direction in which a route carries large bodies, if any. */
+export type LargeBody = 'none' | 'request' | 'response';
+
 /**
  * A route: how requests for its host name and path prefix are handled.
  *
@@ -14,6 +17,8 @@
   readonly access: 'open' | 'keyed';
   /** Whether it is safe to execute the request more than once. */
   readonly repeatable: boolean;
+  /** Whether requests or responses usually have large bodies. */
+  readonly largeBody: LargeBody;
   /**
    * Maximum time from the arrival of the request to the final response, in milliseconds; undefined if only the caller's
    * deadline applies.
--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -28,6 +28,7 @@
   pathPrefix: '/read/',
   access: 'keyed',
   repeatable: true,
+  largeBody: 'none',
   timeoutMilliseconds: 1_000,
   latencyObjectiveMilliseconds: undefined,
   rank: 2,
--- a/packages/sidecar/src/lib/entry/createEntry.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.ts
@@ -6,6 +6,7 @@
 import type { PolicyRoute } from '@buckthornslip/config';
 
 import { DEFAULT_TIMEOUT_MILLISECONDS } from './DEFAULT_TIMEOUT_MILLISECONDS';
+import { createBodyBudget } from '../http/createBodyBudget';
 import { readRequestBody } from '../http/readRequestBody';
 import { writeResponse } from '../http/writeResponse';
 import type { RequestHead } from '../protocol/RequestHead';
@@ -26,6 +27,18 @@
   readonly inProgress: () => number;
 }
 
+/** Longest body that is buffered on routes without large bodies, in bytes. */
+const BUFFERED_BODY_BYTES = 65_536;
+
+/**
+ * Longest upload that is buffered, in bytes. A buffered upload can be sent to another upstream after one has refused it,
+ * and a refusal does not interrupt its caller.
+ */
+const BUFFERED_UPLOAD_BYTES = 524_288;
+
+/** Memory of buffered uploads, in bytes; the smallest machines have 250 MB. Further uploads are streamed. */
+const UPLOAD_BUDGET_BYTES = 33_554_432;
+
 function isSuccess(answer: ForwardResult['answer']): boolean {
   return answer.kind === 'answer' && !isServerError(answer.status);
 }
@@ -63,6 +76,7 @@
   const acceptor = createRequestAcceptor(options);
   const forwarder = createForwarder(options);
   const throttle = createRouteThrottle(clock, random);
+  const uploadBudget = createBodyBudget(UPLOAD_BUDGET_BYTES);
   let running = 0;
 
   const connectionHeaders = (): string[] => (isStopping() ? ['Connection', 'close'] : []);
@@ -121,6 +135,15 @@
     return result;
   };
 
+  /** @returns Longest body that may be buffered for a request. */
+  const reserveBuffer = (response: ServerResponse, { largeBody }: PolicyRoute): number => {
+    if (largeBody !== 'request') return BUFFERED_BODY_BYTES;
+    const release = uploadBudget.reserve(BUFFERED_UPLOAD_BYTES);
+    if (!release) return BUFFERED_BODY_BYTES;
+    response.once('close', release);
+    return BUFFERED_UPLOAD_BYTES;
+  };
+
   const run = async (
     request: IncomingMessage,
     response: ServerResponse,
@@ -133,9 +156,13 @@
       if (!response.writableFinished) scope.cancel('caller-gone');
       scope.end();
     });
-    const limitBytes = accepted.policy.requestLimits.bodyBytes;
-    const read = await readRequestBody(request, limitBytes, () => {
-      logger.log('bodyTooLong', { requestId: head.requestId, limitBytes });
+    const acceptedBytes = accepted.policy.requestLimits.bodyBytes;
+    const read = await readRequestBody(request, {
+      acceptedBytes,
+      bufferedBytes: reserveBuffer(response, route),
+      onExceeded: () => {
+        logger.log('bodyTooLong', { requestId: head.requestId, limitBytes: acceptedBytes });
+      },
     });
     if (!read.ok && read.error === 'caller-gone') return undefined;
     if (!read.ok) return notSent(refuse(read.error));
--- a/packages/sidecar/src/lib/http/readRequestBody.test.ts
+++ b/packages/sidecar/src/lib/http/readRequestBody.test.ts
@@ -9,11 +9,17 @@
 
 const LIMIT_BYTES = 200_000;
 
+const BUFFERED_BYTES = 65_536;
+
 /** Result of reading a body: its length if it was read to its end, otherwise the reason. */
 async function outcomeOf(request: IncomingMessage): Promise<string> {
   let broken = 'broken off';
-  const read = await readRequestBody(request, LIMIT_BYTES, () => {
-    broken = 'broken off as too long';
+  const read = await readRequestBody(request, {
+    acceptedBytes: LIMIT_BYTES,
+    bufferedBytes: BUFFERED_BYTES,
+    onExceeded: () => {
+      broken = 'broken off as too long';
+    },
   });
   if (!read.ok) return read.error;
   const body = read.value;
--- a/packages/sidecar/src/lib/http/readRequestBody.ts
+++ b/packages/sidecar/src/lib/http/readRequestBody.ts
@@ -6,14 +6,21 @@
 import { limitBody } from './limitBody';
 import type { RequestBody } from './RequestBody';
 
-/** Longest body that is buffered, in bytes. The bodies of calls in both deployments are smaller than 32 KiB. */
-const MAXIMUM_BUFFERED_BODY_BYTES = 65_536;
-
 const EMPTY_BODY: RequestBody = { kind: 'whole', bytes: Buffer.alloc(0) };
 
 /** Why there is no body: the caller disconnected before its end, or it exceeds the limit. */
 export type BodyFailure = 'caller-gone' | 'body-too-large';
 
+/** Limits of a body. */
+interface BodyLimits {
+  /** Longest body that is accepted, in bytes. */
+  readonly acceptedBytes: number;
+  /** Longest body that is buffered, in bytes. Only a buffered body can be sent to a second upstream. */
+  readonly bufferedBytes: number;
+  /** Called when a streamed body turns out to be longer than accepted. */
+  readonly onExceeded: () => void;
+}
+
 function declaredLength(request: IncomingMessage): number | undefined {
   const text = request.headers['content-length'];
   return text === undefined ? undefined : Number(text);
@@ -23,25 +30,24 @@
  * Reads the body of a request. Short bodies are buffered, longer ones are returned as a stream.
  *
  * @param request - The request.
- * @param limitBytes - Longest body that is accepted, in bytes.
- * @param onExceeded - Called when a streamed body turns out to be longer.
+ * @param limits - Longest bodies that are accepted and buffered.
  * @returns The body.
  * @internal
  */
 export function readRequestBody(
   request: IncomingMessage,
-  limitBytes: number,
-  onExceeded: () => void,
+  limits: BodyLimits,
 ): Promise<Result<RequestBody, BodyFailure>> {
+  const { acceptedBytes, bufferedBytes, onExceeded } = limits;
   const length = declaredLength(request);
   const isChunked = request.headers['transfer-encoding'] !== undefined;
   if (!isChunked && (length === undefined || length === 0)) {
     return Promise.resolve(success(EMPTY_BODY));
   }
-  if (length !== undefined && length > limitBytes) {
+  if (length !== undefined && length > acceptedBytes) {
     return Promise.resolve(failure('body-too-large'));
   }
-  if (length !== undefined && length > MAXIMUM_BUFFERED_BODY_BYTES) {
+  if (length !== undefined && length > bufferedBytes) {
     const head = Buffer.alloc(0);
     return Promise.resolve(success({ kind: 'stream', stream: request, length, head }));
   }
@@ -51,14 +57,14 @@
     const onData = (chunk: Buffer): void => {
       chunks.push(chunk);
       size += chunk.length;
-      if (size <= Math.min(MAXIMUM_BUFFERED_BODY_BYTES, limitBytes)) return;
+      if (size <= Math.min(bufferedBytes, acceptedBytes)) return;
       request.pause();
       request.off('data', onData);
-      if (size > limitBytes) {
+      if (size > acceptedBytes) {
         resolve(failure('body-too-large'));
         return;
       }
-      const stream = limitBody(request, limitBytes - size, onExceeded);
+      const stream = limitBody(request, acceptedBytes - size, onExceeded);
       resolve(success({ kind: 'stream', stream, length, head: Buffer.concat(chunks) }));
     };
     request.on('data', onData);
