sidecar: a node that restarts reads the policy and learns other zones at once

Cause: with zone relays a node decided after 1 s whether it follows the policy, also when it restarted under traffic. Change: except at the first start of the fleet, the policy is read at once; after reading its zone, a relay reads the other zones and any other node exchanges with the relays. Tests: largeFleet, 'killed and restart know each other within 1 s' (was 3 s) and 'a node that restarts knows all others'.

--- a/packages/sidecar/src/lib/directory/createMemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/createMemberDirectory.ts
@@ -29,6 +29,8 @@
   readonly store: Store;
   readonly peers: DirectoryPeers;
   readonly logger: EventLogger;
+  /** Whether the whole fleet starts for the first time, so that there is no traffic yet. */
+  readonly isFirstStart: boolean;
   /** @returns Revision of this node's current policy; 0 if there is none. */
   readonly policyRevision: () => number;
   /** Called when another node has a newer policy. */
@@ -93,6 +95,7 @@
     clock,
     logger,
     isRelay,
+    followsAtStart: !options.isFirstStart,
     onFollowPolicy: options.onFollowPolicy,
   });
 
@@ -278,6 +281,12 @@
     removeAbsent(listing.hosts, 'no record in the store');
   };
 
+  /** A relay reads the records of other zones, another node gets them from the relays of its zone. */
+  const learnOtherZones = async (): Promise<void> => {
+    if (isRelay()) await readAllZones();
+    else await Promise.all(otherRelays().map((relay) => exchangeWith(relay)));
+  };
+
   const registration = createNodeRegistration({
     clock,
     store,
@@ -288,7 +297,7 @@
       // Other nodes may have removed this one after its earlier record expired; only a newer record restores it.
       if (wasRegistered) void changeSelf({});
       wasRegistered = true;
-      void readZone(revision).then(() => (isRelay() ? readAllZones() : undefined));
+      void readZone(revision).then(learnOtherZones);
     },
   });
 
--- a/packages/sidecar/src/lib/directory/createRelayDuty.ts
+++ b/packages/sidecar/src/lib/directory/createRelayDuty.ts
@@ -24,6 +24,8 @@
   readonly clock: Clock;
   readonly logger: EventLogger;
   readonly isRelay: () => boolean;
+  /** Whether the node follows the policy until it has decided. A node that restarts needs the policy at once. */
+  readonly followsAtStart: boolean;
   readonly onFollowPolicy: (follows: boolean) => void;
 }
 
@@ -36,10 +38,10 @@
  * @internal
  */
 export function createRelayDuty(options: RelayDutyOptions): RelayDuty {
-  const { clock, isRelay, logger, onFollowPolicy } = options;
+  const { clock, followsAtStart, isRelay, logger, onFollowPolicy } = options;
   let lastContactMilliseconds = clock.monotonicMilliseconds();
   let wasRelay = false;
-  let follows = false;
+  let follows = followsAtStart;
   let isClosed = false;
 
   const decide = (onRelay: () => void): void => {
@@ -70,6 +72,7 @@
     },
     start: (onRelay) => {
       lastContactMilliseconds = clock.monotonicMilliseconds();
+      if (followsAtStart) onFollowPolicy(true);
       void run(onRelay);
     },
     close: () => {
--- a/packages/sidecar/src/lib/directory/largeFleet.test.ts
+++ b/packages/sidecar/src/lib/directory/largeFleet.test.ts
@@ -73,15 +73,30 @@
 });
 
 // Guards against a fleet that does not find itself again after all processes were killed at once.
-void t.test('200 nodes that are killed and restart know each other within 3 s', async (test) => {
+void t.test('200 nodes that are killed and restart know each other within 1 s', async (test) => {
   const fleet = createDirectoryFleet(3);
   await startAll(fleet, 3);
   await fleet.clock.advance(5_000);
   hosts.forEach((host) => fleet.end(host));
   await fleet.clock.advance(1_000);
   await startAll(fleet, 4);
-  await fleet.clock.advance(3_000);
+  test.equal(fleet.followers.size, NODES, 'each node reads the policy at once');
+  await fleet.clock.advance(700);
   test.same(knownCounts(fleet), [NODES]);
+  await fleet.clock.advance(2_000);
+  test.equal(fleet.followers.size, ZONES * RELAYS_PER_ZONE, 'only relays go on following it');
+});
+
+// Guards against a node that restarts and knows no node of another zone until its next exchange.
+void t.test('a node that restarts knows all others within half a second', async (test) => {
+  const fleet = createDirectoryFleet(8);
+  await startAll(fleet, 9);
+  await fleet.clock.advance(5_000);
+  fleet.end('host-12');
+  await fleet.clock.advance(500);
+  fleet.start('host-12', undefined, zoneOf('host-12'));
+  await fleet.clock.advance(500);
+  test.equal(fleet.usable('host-12').length, NODES);
 });
 
 // Guards against a fleet that needs the store to find itself again: only the nodes that kept running know the others.
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -127,6 +127,7 @@
     random,
     store,
     logger,
+    isFirstStart: options.isFirstStart,
     policyRevision,
     peers: { exchange: exchangeWithPeer },
     onNewerPolicy: (address, message) => {
--- a/packages/sidecar/src/lib/testing/createDirectoryFleet.ts
+++ b/packages/sidecar/src/lib/testing/createDirectoryFleet.ts
@@ -84,6 +84,7 @@
   const followers = new Set<string>();
   const policyRevisions = new Map<string, number>();
   const messages: SentMessage[] = [];
+  const hasStarted = new Set<string>();
   let lastIncarnation = 0;
 
   const deliver = (
@@ -123,6 +124,7 @@
       store,
       peers: { exchange: async (address, sent) => deliver(zone, hostOf(address), sent) },
       logger: createSilentLogger(),
+      isFirstStart: !hasStarted.has(host),
       policyRevision: () => policyRevisions.get(host) ?? 0,
       onNewerPolicy: fetchPolicy,
       onFollowPolicy: (follows) => {
@@ -131,6 +133,7 @@
       },
     });
     directories.set(host, directory);
+    hasStarted.add(host);
     directory.start();
     return directory;
   };
