sidecar, limits: permissions and departures survive suspensions and restarts

Cause: tokens expired by the monotonic clock, which does not count the time for which a host is suspended, so a node that woke up spent tokens of seconds before. A restarted node knew nothing of departures that its earlier process had acknowledged, so a late announcement put an upstream in use again that had left. Change: tokens also expire by the wall clock. A node's record names the start of an upstream that is draining or has left, and nodes that know it tell a later process of that host, which keeps to it. Tests: 'tokens expire while the host is suspended' failed before; 'a departure that an earlier process acknowledged is binding' and 'a node that restarts is told of the departure of its upstream' test the new path.

--- a/packages/limits/src/lib/ledger/createAccountTokenCache.ts
+++ b/packages/limits/src/lib/ledger/createAccountTokenCache.ts
@@ -54,11 +54,19 @@
   const waiters: Waiter[] = [];
   let tokens = 0;
   let tokensExpireMilliseconds = 0;
+  /** Wall-clock time at which the tokens were requested; it passes while the host is suspended as well. */
+  let tokensRequestedWallMilliseconds = 0;
   let backoffUntilMilliseconds = 0;
   let isRequesting = false;
 
+  /** A step of the wall clock in either direction may be a suspension, so the tokens count as expired. */
+  const areTokensValid = (): boolean => {
+    const wallAge = clock.wallMilliseconds() - tokensRequestedWallMilliseconds;
+    return now() < tokensExpireMilliseconds && Math.abs(wallAge) < TOKEN_LIFETIME_MILLISECONDS;
+  };
+
   const takeToken = (): boolean => {
-    if (tokens < 1 || now() >= tokensExpireMilliseconds) return false;
+    if (tokens < 1 || !areTokensValid()) return false;
     tokens -= 1;
     return true;
   };
@@ -79,9 +87,10 @@
     });
   };
 
-  const useGrant = (grant: LedgerGrant, sentMilliseconds: number): void => {
-    tokens = now() < tokensExpireMilliseconds ? tokens + grant.tokens : grant.tokens;
+  const useGrant = (grant: LedgerGrant, sentMilliseconds: number, sentWall: number): void => {
+    tokens = areTokensValid() ? tokens + grant.tokens : grant.tokens;
     tokensExpireMilliseconds = sentMilliseconds + TOKEN_LIFETIME_MILLISECONDS;
+    tokensRequestedWallMilliseconds = sentWall;
     admitWhile(takeToken);
     if (grant.tokens > 0) return;
     const { retryAfterMilliseconds } = grant;
@@ -98,11 +107,12 @@
     isRequesting = true;
     while (waiters.length > 0) {
       const sentMilliseconds = now();
+      const sentWall = clock.wallMilliseconds();
       const needed = waiters.length;
       const answer = await ledgers.request({ account, needed, ahead: prefetchTarget() });
       const allowance = allowanceOf(account);
       if (!allowance) refuseAll({ reason: 'account-rate', retryAfterMilliseconds: 0 });
-      else if (answer.ok) useGrant(answer.value, sentMilliseconds);
+      else if (answer.ok) useGrant(answer.value, sentMilliseconds, sentWall);
       else useFallbackBucket(allowance);
     }
     isRequesting = false;
--- a/packages/limits/src/lib/ledger/createLedgerRateLimiter.test.ts
+++ b/packages/limits/src/lib/ledger/createLedgerRateLimiter.test.ts
@@ -140,3 +140,27 @@
     test.ok(far > near / 2, `${near} near, ${far} far`);
   },
 );
+
+// Guards against a host that was suspended and then spends tokens that were granted long before: its monotonic clock does
+// not count the time of the suspension, but its wall clock does.
+void t.test('tokens expire while the host is suspended', async (test) => {
+  const clock = createFakeClock();
+  const allowanceOf = () => ({ ratePerSecond: RATE, burst: BURST });
+  let requests = 0;
+  const limiter = createLedgerRateLimiter({
+    clock,
+    allowanceOf,
+    nodeCount: () => 1,
+    ledgers: {
+      request: async () => {
+        requests += 1;
+        return success({ tokens: 5, retryAfterMilliseconds: 0 });
+      },
+    },
+  });
+  await limiter.acquire(ACCOUNT);
+  test.equal(limiter.acquire(ACCOUNT), undefined, 'a prefetched token is spent at once');
+  clock.stepWallClock(5_000);
+  await limiter.acquire(ACCOUNT);
+  test.equal(requests, 2, 'after the suspension the ledger is asked again');
+});
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -12,6 +12,7 @@
 export type { Announcement } from './lib/member/Announcement';
 export type { Member } from './lib/member/Member';
 export type { Membership } from './lib/member/Membership';
+export type { MemberDeparture } from './lib/member/MemberDeparture';
 export type { MemberState } from './lib/member/MemberState';
 export { createMemoryFleet } from './lib/network/createMemoryFleet';
 export type { MemoryFleet } from './lib/network/createMemoryFleet';
--- a/packages/membership/src/lib/member/Member.ts
+++ b/packages/membership/src/lib/member/Member.ts
@@ -1,5 +1,6 @@
 import type { NodeIdentity, RegionId, ServiceId, ZoneId } from '@buckthornslip/common';
 
+import type { MemberDeparture } from './MemberDeparture';
 import type { MemberState } from './MemberState';
 
 /**
@@ -21,6 +22,8 @@
   readonly slots: number;
   readonly connections: number;
   readonly state: MemberState;
+  /** Upstream that is leaving or has left, which the node must not use again after a restart. */
+  readonly departure?: MemberDeparture;
   /** False if failure detection has declared the node dead. */
   readonly alive: boolean;
 }
--- a/packages/sidecar/src/lib/directory/MemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/MemberDirectory.ts
@@ -3,7 +3,9 @@
 import type { DirectoryMessage } from './DirectoryMessage';
 
 /** Fields of this node's record that change while it is running. */
-export type SelfUpdate = Partial<Pick<Member, 'service' | 'slots' | 'connections' | 'state'>>;
+export type SelfUpdate = Partial<
+  Pick<Member, 'service' | 'slots' | 'connections' | 'state' | 'departure'>
+>;
 
 /**
  * All known nodes. Nodes discover each other through records in the store and then communicate directly, through the
--- a/packages/sidecar/src/lib/directory/createMemberDirectory.test.ts
+++ b/packages/sidecar/src/lib/directory/createMemberDirectory.test.ts
@@ -1,4 +1,4 @@
-import type { HostId } from '@buckthornslip/common';
+import type { HostId, UpstreamId } from '@buckthornslip/common';
 import t from 'tap';
 
 import { createDirectoryFleet, TEST_SERVICE as SERVICE } from '../testing/createDirectoryFleet';
@@ -120,3 +120,19 @@
   await fleet.clock.advance(100);
   test.same(fleet.usable('a'), ['a', 'c', 'd']);
 });
+
+// Guards against a restarted node that uses an upstream again whose departure its earlier process acknowledged.
+void t.test('a node that restarts is told of the departure of its upstream', async (test) => {
+  const fleet = createDirectoryFleet(9);
+  HOSTS.forEach((host) => fleet.start(host));
+  await fleet.clock.advance(2_000);
+  const departure = { id: 'i-1' as UpstreamId, startedMilliseconds: 100, state: 'left' } as const;
+  fleet.get('b').update({ state: 'left', departure });
+  await fleet.clock.advance(100);
+  fleet.end('b');
+  await fleet.clock.advance(300);
+  fleet.start('b');
+  await fleet.clock.advance(300);
+  test.same(fleet.earlierDepartures.get('b'), departure);
+  test.equal(fleet.earlierDepartures.has('a'), false);
+});
--- a/packages/sidecar/src/lib/directory/createMemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/createMemberDirectory.ts
@@ -1,5 +1,5 @@
 import type { Clock, HostId, Incarnation, RandomSource } from '@buckthornslip/common';
-import type { Member } from '@buckthornslip/membership';
+import type { Member, MemberDeparture } from '@buckthornslip/membership';
 import type { Store, StoreRevision } from '@buckthornslip/platform';
 import type { EventLogger } from '@buckthornslip/telemetry';
 import { filter, firstValueFrom, timeout, catchError, of } from 'rxjs';
@@ -37,6 +37,8 @@
   readonly onNewerPolicy: (peerAddress: string, message: DirectoryMessage) => void;
   /** Called when this node starts or stops following the policy in the store, for itself and its zone. */
   readonly onFollowPolicy: (follows: boolean) => void;
+  /** Called when another node still has a record of an earlier process of this node with a departed upstream. */
+  readonly onEarlierDeparture: (departure: MemberDeparture) => void;
 }
 
 /** Consecutive failed exchanges after which a node is considered dead. A single one may be lost with its connection. */
@@ -152,6 +154,9 @@
 
   const applyRecord = (member: Member, source: string, passesOn: boolean): void => {
     if (isSelf(member)) {
+      if (member.departure && member.incarnation !== self.incarnation) {
+        options.onEarlierDeparture(member.departure);
+      }
       supersede(member);
       return;
     }
@@ -341,6 +346,15 @@
     }
   };
 
+  /**
+   * A node is told of the known record of its host if that is newer, because it has to raise its incarnation, or if it is of
+   * an earlier process with a departed upstream.
+   */
+  const isToldOfEarlier = (from: Member, known: Member): boolean => {
+    if (isNewerRecord(known, from)) return true;
+    return known.departure !== undefined && known.incarnation !== from.incarnation;
+  };
+
   const isUsable = (members: readonly Member[]): boolean =>
     members.some(({ alive, state }) => alive && state === 'ready');
 
@@ -380,13 +394,12 @@
     revision: table.revision,
     currentMessage: () => message([], true),
     receive: (received) => {
+      const earlier = table.get(received.from.host);
       applyMessage(received);
       const differs = received.digest !== table.digest();
-      if (differs && !received.isUpdate) return message(table.all(), false);
-      // A sender whose record is older than the known one of its host has to raise its incarnation.
-      const known = table.get(received.from.host);
-      const isOutranked = known !== undefined && isNewerRecord(known, received.from);
-      return message(isOutranked ? [known] : [], received.isUpdate);
+      const own = earlier && isToldOfEarlier(received.from, earlier) ? [earlier] : [];
+      if (differs && !received.isUpdate) return message([...table.all(), ...own], false);
+      return message(own, received.isUpdate);
     },
     leave: async () => {
       await changeSelf({ state: 'left' });
--- a/packages/sidecar/src/lib/directory/memberMessages.ts
+++ b/packages/sidecar/src/lib/directory/memberMessages.ts
@@ -1,5 +1,12 @@
-import type { HostId, Incarnation, RegionId, ServiceId, ZoneId } from '@buckthornslip/common';
-import type { Member, MemberState } from '@buckthornslip/membership';
+import type {
+  HostId,
+  Incarnation,
+  RegionId,
+  ServiceId,
+  UpstreamId,
+  ZoneId,
+} from '@buckthornslip/common';
+import type { Member, MemberDeparture, MemberState } from '@buckthornslip/membership';
 import type { channelMessages } from '@buckthornslip/wire';
 
 import { isAddress } from './isAddress';
@@ -17,7 +24,22 @@
  * @internal
  */
 export function toMemberMessage(member: Member): channelMessages.Member {
-  return { ...member, service: member.service ?? '' };
+  const { departure, ...fields } = member;
+  return {
+    ...fields,
+    service: member.service ?? '',
+    departedId: departure?.id ?? '',
+    departedStartedMilliseconds: departure?.startedMilliseconds ?? 0,
+    departedState: departure?.state ?? '',
+  };
+}
+
+function departureOf(message: channelMessages.Member): MemberDeparture {
+  return {
+    id: message.departedId as UpstreamId,
+    startedMilliseconds: message.departedStartedMilliseconds,
+    state: message.departedState === 'draining' ? 'draining' : 'left',
+  };
 }
 
 /**
@@ -41,5 +63,6 @@
     connections: message.connections,
     state: STATES[message.state] ?? 'starting',
     alive: true,
+    ...(message.departedId === '' ? {} : { departure: departureOf(message) }),
   };
 }
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -2,7 +2,7 @@
 import type { AccountId } from '@buckthornslip/common';
 import type { CallPolicy } from '@buckthornslip/config';
 import { createAccountLedger, createLedgerRateLimiter } from '@buckthornslip/limits';
-import type { Member } from '@buckthornslip/membership';
+import type { Member, MemberDeparture } from '@buckthornslip/membership';
 import { createRouter } from '@buckthornslip/routing';
 
 import { channelTimes } from '../channel/channelTimes';
@@ -27,6 +27,7 @@
 import { createRunningCalls } from '../serving/createRunningCalls';
 import { createCallServer } from '../serving/createCallServer';
 import { createUpstreamRegistry } from '../serving/createUpstreamRegistry';
+import type { UpstreamInstance } from '../serving/UpstreamInstance';
 import type { UpstreamView } from '../serving/UpstreamRegistry';
 import { createCallerListener } from './createCallerListener';
 import { createSidecarMetrics } from './createSidecarMetrics';
@@ -52,6 +53,14 @@
  */
 const SERVING_WHILE_STOPPING_MILLISECONDS = 1_200;
 
+function departureOf(
+  { id, startedMilliseconds }: UpstreamInstance,
+  state: UpstreamView['state'],
+): MemberDeparture | undefined {
+  if (state !== 'draining' && state !== 'left') return undefined;
+  return { id, startedMilliseconds, state };
+}
+
 function initialMember(options: SidecarOptions): Member {
   const { host, incarnation, listeners, region, zone } = options;
   return {
@@ -134,6 +143,11 @@
       void fetchPolicy(address, message);
     },
     onFollowPolicy: policy.setFollowing,
+    onEarlierDeparture: (departure) => {
+      upstream.restoreDeparture(departure);
+      // A further restart needs it as well, unless another upstream has taken its place.
+      if (upstream.current()?.state !== 'ready') directory.update({ departure });
+    },
   });
 
   const onUpstreamChange = ({ instance, state }: UpstreamView): void => {
@@ -149,6 +163,7 @@
       service: instance.service,
       slots,
       state: isDraining ? 'draining' : memberState,
+      departure: departureOf(instance, state),
     });
   };
   const upstream = createUpstreamRegistry({
--- a/packages/sidecar/src/lib/serving/UpstreamRegistry.ts
+++ b/packages/sidecar/src/lib/serving/UpstreamRegistry.ts
@@ -1,4 +1,5 @@
 import type { UpstreamId } from '@buckthornslip/common';
+import type { MemberDeparture } from '@buckthornslip/membership';
 
 import type { UpstreamInstance } from './UpstreamInstance';
 
@@ -20,6 +21,8 @@
   readonly announce: (instance: UpstreamInstance) => boolean;
   /** Deregisters the upstream. */
   readonly leave: (id: UpstreamId) => void;
+  /** Applies a departure that an earlier process of this node has acknowledged. */
+  readonly restoreDeparture: (departure: MemberDeparture) => void;
   /** Marks the upstream as lost, because it refuses connections, until its next announcement. */
   readonly markLost: () => void;
   readonly close: () => void;
--- a/packages/sidecar/src/lib/serving/createUpstreamRegistry.test.ts
+++ b/packages/sidecar/src/lib/serving/createUpstreamRegistry.test.ts
@@ -79,3 +79,21 @@
     test.same(states, ['ready', 'lost', 'ready']);
   },
 );
+
+// Guards against a late announcement that puts a departed upstream in use again after its node has restarted.
+void t.test('a departure that an earlier process acknowledged is binding', async (test) => {
+  const start = { id: 'i-1' as UpstreamId, startedMilliseconds: 100 };
+  const late = createRegistry();
+  late.registry.announce(instance());
+  late.registry.restoreDeparture({ ...start, state: 'left' });
+  test.equal(late.registry.current()?.state, 'left', 'announced before the departure was known');
+  const early = createRegistry();
+  early.registry.restoreDeparture({ ...start, state: 'left' });
+  test.notOk(early.registry.announce(instance({ sequence: 9 })));
+  const draining = createRegistry();
+  draining.registry.restoreDeparture({ ...start, state: 'draining' });
+  draining.registry.announce(instance({ sequence: 9 }));
+  test.equal(draining.registry.current()?.state, 'draining');
+  draining.registry.announce(instance({ startedMilliseconds: 200 }));
+  test.equal(draining.registry.current()?.state, 'ready', 'a later start is not affected');
+});
--- a/packages/sidecar/src/lib/serving/createUpstreamRegistry.ts
+++ b/packages/sidecar/src/lib/serving/createUpstreamRegistry.ts
@@ -1,4 +1,5 @@
-import type { Clock } from '@buckthornslip/common';
+import type { Clock, UpstreamId } from '@buckthornslip/common';
+import type { MemberDeparture } from '@buckthornslip/membership';
 import type { EventLogger } from '@buckthornslip/telemetry';
 
 import type { UpstreamInstance } from './UpstreamInstance';
@@ -27,6 +28,10 @@
   return instance.id !== known.id || instance.sequence > known.sequence;
 }
 
+function startOf({ id, startedMilliseconds }: UpstreamInstance) {
+  return { id, startedMilliseconds };
+}
+
 /**
  * Creates the registry of the local upstream. Announcements may arrive late and out of order; only the newest applies,
  * by start time and sequence.
@@ -37,7 +42,7 @@
  */
 export function createUpstreamRegistry(options: UpstreamRegistryOptions): UpstreamRegistry {
   const { announcementMilliseconds, clock, logger, onChange } = options;
-  const departures = new Map<string, number>();
+  const departures = new Map<UpstreamId, MemberDeparture>();
   let view: UpstreamView | undefined;
   let stopTimer: (() => void) | undefined;
 
@@ -71,34 +76,45 @@
     );
   };
 
-  const rememberDeparture = ({ id, startedMilliseconds }: UpstreamInstance): void => {
-    departures.set(id, startedMilliseconds);
+  const rememberDeparture = (departure: MemberDeparture): void => {
+    departures.set(departure.id, departure);
     const oldest = departures.keys().next().value;
     if (departures.size > REMEMBERED_DEPARTURES && oldest !== undefined) departures.delete(oldest);
   };
 
-  const hasDeparted = ({ id, startedMilliseconds }: UpstreamInstance): boolean =>
-    (departures.get(id) ?? -Infinity) >= startedMilliseconds;
+  /** @returns The known departure of an upstream's start, or of a later start with the same id. */
+  const departureOf = ({
+    id,
+    startedMilliseconds,
+  }: UpstreamInstance): MemberDeparture | undefined => {
+    const known = departures.get(id);
+    return known && known.startedMilliseconds >= startedMilliseconds ? known : undefined;
+  };
 
   return {
     current: () => view,
     announce: (instance) => {
-      if (hasDeparted(instance)) return false;
+      const departure = departureOf(instance);
+      if (departure?.state === 'left') return false;
       if (view && !isNewer(instance, view.instance)) return false;
-      const isSameStart =
-        view?.instance.id === instance.id &&
-        view.instance.startedMilliseconds === instance.startedMilliseconds;
       // A draining upstream does not become ready again within one start.
-      const state = isSameStart && view?.state === 'draining' ? 'draining' : instance.state;
+      const state = departure ? 'draining' : instance.state;
+      if (state === 'draining') rememberDeparture({ ...startOf(instance), state });
       setView({ instance, state }, 'announcement');
       restartAnnouncementTimer();
       return true;
     },
     leave: (id) => {
       if (view?.instance.id !== id) return;
-      rememberDeparture(view.instance);
+      rememberDeparture({ ...startOf(view.instance), state: 'left' });
       setView({ ...view, state: 'left' }, 'departure');
     },
+    restoreDeparture: (departure) => {
+      rememberDeparture(departure);
+      const isCurrent = view && departureOf(view.instance) === departure;
+      if (!view || !isCurrent) return;
+      setView({ ...view, state: departure.state }, 'departure before the restart of this node');
+    },
     markLost: () => setLost('connection-refused'),
     close: () => stopTimer?.(),
   };
--- a/packages/sidecar/src/lib/testing/createDirectoryFleet.ts
+++ b/packages/sidecar/src/lib/testing/createDirectoryFleet.ts
@@ -7,7 +7,7 @@
   FakeClock,
 } from '@buckthornslip/common';
 import { createFakeClock, createSeededRandom } from '@buckthornslip/common';
-import type { Member } from '@buckthornslip/membership';
+import type { Member, MemberDeparture } from '@buckthornslip/membership';
 import type { MemoryStore } from '@buckthornslip/platform';
 import { createMemoryStore } from '@buckthornslip/platform';
 import { createSilentLogger } from '@buckthornslip/telemetry';
@@ -40,6 +40,8 @@
   readonly followers: Set<string>;
   /** Policy revision of each host; 0 if it is not set. */
   readonly policyRevisions: Map<string, number>;
+  /** Departures of which restarted hosts have been told. */
+  readonly earlierDepartures: Map<string, MemberDeparture>;
   readonly start: (host: string, incarnation?: number, zone?: ZoneId) => MemberDirectory;
   /** Ends a host without a graceful shutdown. */
   readonly end: (host: string) => void;
@@ -83,6 +85,7 @@
   const unreachable = new Set<string>();
   const followers = new Set<string>();
   const policyRevisions = new Map<string, number>();
+  const earlierDepartures = new Map<string, MemberDeparture>();
   const messages: SentMessage[] = [];
   const hasStarted = new Set<string>();
   let lastIncarnation = 0;
@@ -131,6 +134,7 @@
         if (follows) followers.add(host);
         else followers.delete(host);
       },
+      onEarlierDeparture: (departure) => earlierDepartures.set(host, departure),
     });
     directories.set(host, directory);
     hasStarted.add(host);
@@ -153,6 +157,7 @@
     messages,
     followers,
     policyRevisions,
+    earlierDepartures,
     start,
     end,
     usable,
