--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -143,11 +143,7 @@
       void fetchPolicy(address, message);
     },
     onFollowPolicy: policy.setFollowing,
-    onEarlierDeparture: (departure) => {
-      upstream.restoreDeparture(departure);
-      // A further restart needs it as well, unless another upstream has taken its place.
-      if (upstream.current()?.state !== 'ready') directory.update({ departure });
-    },
+    onEarlierDeparture: (departure) => restoreDeparture(departure),
   });
 
   const onUpstreamChange = ({ instance, state }: UpstreamView): void => {
@@ -173,6 +169,12 @@
     onChange: onUpstreamChange,
   });
 
+  function restoreDeparture(departure: MemberDeparture): void {
+    upstream.restoreDeparture(departure);
+    // A further restart needs it as well, unless another upstream has taken its place.
+    if (upstream.current()?.state !== 'ready') directory.update({ departure });
+  }
+
   const allowanceOf = (account: AccountId) => policy.current()?.accounts.get(account);
   const ledger = createAccountLedger(clock, { allowanceOf, isFirstStart: options.isFirstStart });
   const locator = createLedgerLocator(directory);
