calls, sidecar, limits: a planned stop resets no waiting requests; 429 only if a token server said so

The sidecar closed its listener with http.Server.close(), which also closes idle connections on which a request may be in flight. A limiter whose token server had not answered refused with 429. Change: listeners close after polls without an arrival; open connections are served until the end of a drain. Callers wait up to 2 s for a token server that does not answer, and then get limit-unavailable.

--- a/apps/standins/src/lib/upstream/UpstreamOptions.ts
+++ b/apps/standins/src/lib/upstream/UpstreamOptions.ts
@@ -21,6 +21,8 @@
   readonly seed?: number;
   /** Called with each request, for tests. */
   readonly observe?: (request: IncomingMessage) => void;
+  /** Awaited before each answer, for tests that decide when calls end. */
+  readonly beforeAnswer?: () => Promise<void>;
   /** Replaces the default crash, which closes the server and its connections. */
   readonly crash?: () => void;
 }
--- a/apps/standins/src/lib/upstream/serveCall.ts
+++ b/apps/standins/src/lib/upstream/serveCall.ts
@@ -92,6 +92,7 @@
   const signal = createCallSignal(request, response);
   const result = await executeCall(state, request, signal);
   if (state.faults().silent) return;
+  await state.options.beforeAnswer?.();
   const url = new URL(request.url ?? '/', 'http://upstream');
   const bytes = Number(url.searchParams.get('bytes') ?? 0);
   await writeResult(response, result, bytes, state.faults().truncate);
--- a/packages/calls/src/index.ts
+++ b/packages/calls/src/index.ts
@@ -79,3 +79,5 @@
 export { loadHeader } from './lib/serving/loadHeader';
 export { parseLoadHeader } from './lib/serving/parseLoadHeader';
 export { splitAddress } from './lib/http/splitAddress';
+export { stopAccepting } from './lib/http/stopAccepting';
+export { waitForQuietPoll } from './lib/http/waitForQuietPoll';
--- a/packages/calls/src/lib/http/createHttpListener.ts
+++ b/packages/calls/src/lib/http/createHttpListener.ts
@@ -1,7 +1,6 @@
 import type { IncomingMessage, ServerOptions, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { Server as NetServer } from 'node:net';
 import type { Duplex } from 'node:stream';
 
 import type { CallPathDependencies } from './CallPathDependencies';
@@ -9,6 +8,8 @@
 import type { HttpListener } from './HttpListener';
 import { refuse } from './refuse';
 import { sendRefusal } from './sendRefusal';
+import { stopAccepting } from './stopAccepting';
+import { waitForQuietPoll } from './waitForQuietPoll';
 
 /** Keep-alive timeout of idle connections, in milliseconds. Longer than the idle time of nodes' connection pools. */
 const KEEP_ALIVE_MILLISECONDS = 60_000;
@@ -125,15 +126,6 @@
         waiters.add(resolve);
       });
   };
-  const stopAccepting = async (): Promise<void> => {
-    // Connections that the kernel has established but this process has not accepted are reset when the listener
-    // closes. Their number is lowest right after the event loop has polled for events.
-    await new Promise((resolve) => {
-      setImmediate(resolve);
-    });
-    // http.Server.close() would also close idle connections, on which a request may already be in flight.
-    if (server.listening) NetServer.prototype.close.call(server);
-  };
   return {
     listen: ({ address, port }) =>
       new Promise((resolve, reject) => {
@@ -149,13 +141,17 @@
       for (const response of running) response.shouldKeepAlive = false;
       // During this time, requests on new and idle connections get a "not-run" refusal instead of a reset.
       await dependencies.clock.sleep(LINGER_MILLISECONDS);
-      await stopAccepting();
-      await waitUntilIdle();
+      await stopAccepting(server);
+      do {
+        await waitUntilIdle();
+        // A request may have arrived on an idle connection.
+        await waitForQuietPoll(server);
+      } while (running.size > 0);
       server.closeIdleConnections();
     },
     close: async () => {
       draining = true;
-      await stopAccepting();
+      await stopAccepting(server);
       server.closeAllConnections();
     },
   };
--- a/packages/limits/src/lib/entry/createSingleAccountLimiter.ts
+++ b/packages/limits/src/lib/entry/createSingleAccountLimiter.ts
@@ -16,6 +16,12 @@
  */
 const DEFAULT_WAIT_MILLISECONDS = 500;
 
+/**
+ * Maximum time that a call waits while no token server has answered, in milliseconds. A token server that stops
+ * gracefully has handed its accounts over within this time.
+ */
+const UNANSWERED_WAIT_MILLISECONDS = 2_000;
+
 /**
  * Maximum number of waiting calls of one account. Further calls would not get a token before their
  * wait times out.
@@ -76,7 +82,8 @@
   let nextPrefetch = 0;
   let needed = 0;
   let unreportedDemand = 0;
-  let isAvailable = true;
+  /** Time of the last answer of a token server. */
+  let lastAnswerMilliseconds = -Infinity;
   let cancelTimer: (() => void) | undefined;
   let timerDue = Infinity;
 
@@ -138,10 +145,10 @@
       onAnswer,
     );
     isRequesting = false;
-    isAvailable = answer.kind !== 'unavailable';
+    if (answer.kind !== 'unavailable') lastAnswerMilliseconds = now();
     const interval = intervalAfter(answer);
     // An empty answer to a prefetch does not delay requests for calls that wait.
-    const isBackoffNeeded = needed > 0 || !isAvailable;
+    const isBackoffNeeded = needed > 0 || answer.kind === 'unavailable';
     nextRequest = now() + (isBackoffNeeded ? interval : MINIMUM_INTERVAL_MILLISECONDS);
     nextPrefetch = now() + Math.max(interval, horizon() * PREFETCH_INTERVAL_SHARE);
     releaseWaitingCalls();
@@ -181,16 +188,28 @@
     });
   }
 
-  const refusal = (): LimitRefusal => ({
-    kind: isAvailable ? 'account-rate' : 'limit-unavailable',
+  /** Only a token server can tell that an account is over its rate. */
+  const isOverRate = (sinceMilliseconds: number): boolean =>
+    lastAnswerMilliseconds >= sinceMilliseconds;
+
+  const refusal = (sinceMilliseconds: number): LimitRefusal => ({
+    kind: isOverRate(sinceMilliseconds) ? 'account-rate' : 'limit-unavailable',
     retryAfterMilliseconds: Math.ceil(Math.max(MINIMUM_RETRY_MILLISECONDS, nextRequest - now())),
   });
 
+  const waitMilliseconds = options.waitMilliseconds ?? DEFAULT_WAIT_MILLISECONDS;
+
   const waitForToken = async (signal?: AbortSignal): Promise<Result<void, LimitRefusal>> => {
-    const milliseconds = options.waitMilliseconds ?? DEFAULT_WAIT_MILLISECONDS;
-    const end = waitQueue.wait(milliseconds, signal);
-    scheduleNextRequest();
-    return (await end) === 'token' ? success(undefined) : failure(refusal());
+    const arrivedMilliseconds = now();
+    const waitUntil = arrivedMilliseconds + UNANSWERED_WAIT_MILLISECONDS;
+    const mayWait = (): boolean => now() < waitUntil && !isOverRate(arrivedMilliseconds);
+    let end: Awaited<ReturnType<typeof waitQueue.wait>>;
+    do {
+      const waiting = waitQueue.wait(waitMilliseconds, signal);
+      scheduleNextRequest();
+      end = await waiting;
+    } while (end === 'timeout' && mayWait());
+    return end === 'token' ? success(undefined) : failure(refusal(arrivedMilliseconds));
   };
 
   return {
@@ -201,7 +220,9 @@
         scheduleNextRequest();
         return success(undefined);
       }
-      return waitQueue.size() < MAXIMUM_WAITING_CALLS ? waitForToken(signal) : failure(refusal());
+      return waitQueue.size() < MAXIMUM_WAITING_CALLS
+        ? waitForToken(signal)
+        : failure(refusal(now() - waitMilliseconds));
     },
   };
 }
--- a/packages/sidecar/src/lib/process/createCallerListener.ts
+++ b/packages/sidecar/src/lib/process/createCallerListener.ts
@@ -1,6 +1,7 @@
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 
+import { stopAccepting, waitForQuietPoll } from '@buckthornslip/calls';
 import type { RequestLimits } from '@buckthornslip/config';
 import type { EventLogger } from '@buckthornslip/telemetry';
 
@@ -10,9 +11,14 @@
 
 /** HTTP listener for requests of callers and of the local upstream. */
 export interface CallerListener {
-  readonly server: Server;
   readonly listen: (address: string) => Promise<void>;
   readonly apply: (limits: RequestLimits) => void;
+  /** Closes the listener; open connections stay open. */
+  readonly stopAccepting: () => Promise<void>;
+  /** Waits until requests that have arrived were read. */
+  readonly poll: () => Promise<void>;
+  /** Closes all connections at once. */
+  readonly closeConnections: () => void;
 }
 
 /** Idle timeout of callers' connections until a policy sets one, in milliseconds. */
@@ -59,12 +65,14 @@
     },
   );
   return {
-    server,
     listen: (address) => listenAt(server, address),
     apply: ({ headMilliseconds, idleMilliseconds }) => {
       server.keepAliveTimeout = idleMilliseconds + IDLE_MARGIN_MILLISECONDS;
       // Node.js measures this timeout from the accept of the connection, so a slow caller gets extra time.
       server.headersTimeout = headMilliseconds * 2;
     },
+    stopAccepting: () => stopAccepting(server),
+    poll: () => waitForQuietPoll(server),
+    closeConnections: () => server.closeAllConnections(),
   };
 }
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -292,7 +292,7 @@
     const inProgress = (): number => entry.inProgress() + running();
     logger.log('processStopping', { host, inProgress: entry.inProgress() });
     const cancelPhases = scheduleStopPhases();
-    await drainServer({ clock, server: callers.server, running, inProgress, deadline });
+    await drainServer({ clock, listener: callers, running, inProgress, deadline });
     cancelPhases();
     await Promise.race([directory.leave(), clock.sleep(deadline - clock.monotonicMilliseconds())]);
     closeAll();
--- a/packages/sidecar/src/lib/process/drainServer.ts
+++ b/packages/sidecar/src/lib/process/drainServer.ts
@@ -1,11 +1,11 @@
-import type { Server } from 'node:http';
-
 import type { Clock } from '@buckthornslip/common';
 
+import type { CallerListener } from './createCallerListener';
+
 /** Dependencies and deadline of a drain. */
 interface DrainOptions {
   readonly clock: Clock;
-  readonly server: Server;
+  readonly listener: Pick<CallerListener, 'closeConnections' | 'poll' | 'stopAccepting'>;
   /** @returns Calls that the upstream is running; their nested calls need new connections to this listener. */
   readonly running: () => number;
   /** @returns Requests without a complete response. */
@@ -41,7 +41,7 @@
  * @internal
  */
 export async function drainServer(options: DrainOptions): Promise<void> {
-  const { clock, deadline, inProgress, running, server } = options;
+  const { clock, deadline, inProgress, listener, running } = options;
   const openUntil = Math.min(
     deadline,
     clock.monotonicMilliseconds() + ACCEPTING_WHILE_STOPPING_MILLISECONDS,
@@ -53,13 +53,14 @@
     );
   };
   while (isOpen()) await clock.sleep(CHECK_MILLISECONDS);
-  server.close();
+  await listener.stopAccepting();
   let idleSince = clock.monotonicMilliseconds();
   while (clock.monotonicMilliseconds() < deadline) {
+    // Requests may have arrived on idle connections.
+    await listener.poll();
     if (inProgress() > 0) idleSince = clock.monotonicMilliseconds();
     if (clock.monotonicMilliseconds() - idleSince >= IDLE_MILLISECONDS) break;
     await clock.sleep(CHECK_MILLISECONDS);
   }
-  server.closeIdleConnections();
-  server.closeAllConnections();
+  listener.closeConnections();
 }
