calls, sidecar: a connection that carried a refusal is not used again

Cause: a faulty upstream may write an earlier refusal once more on a kept connection. The product's own path has no id in responses, so the copy was taken for the refusal of the next request: callers heard 'not-run' for requests that ran, and a node could run them elsewhere. The sidecar tells responses apart by id, but not if the same request is sent once more. Change: a connection is closed after an upstream's refusal. Tests: 'a repeated refusal is not taken for the refusal of the next request' and 'a refused request is sent again on another connection' failed before. No measured run: upstreams refuse rarely, as nodes admit no more than the announced slots.

--- a/apps/standins/src/lib/callPath/lateResponses.test.ts
+++ b/apps/standins/src/lib/callPath/lateResponses.test.ts
@@ -107,3 +107,54 @@
     await sleep(60);
   }
 });
+
+/** Starts an upstream that refuses some requests, and writes a refusal once more when the next request arrives. */
+async function startRepeatingUpstream() {
+  const runs = new Set<string>();
+  const refusal = `HTTP/1.1 503 Busy\r\nbuckthornslip-outcome: not-run\r\nContent-Length: 0\r\n\r\n`;
+  const server = createServer((socket) => {
+    let refused = false;
+    socket.on('error', () => undefined);
+    socket.on('data', (chunk) => {
+      const marker = /x-marker: (\w+)/i.exec(chunk.toString('latin1'))?.[1] ?? '';
+      if (refused) socket.write(refusal);
+      refused = marker.startsWith('refused');
+      if (refused) {
+        socket.write(refusal);
+        return;
+      }
+      runs.add(marker);
+      setTimeout(() => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'), 20);
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return { address: `127.0.0.1:${(server.address() as AddressInfo).port}`, server, runs };
+}
+
+// Guards against telling callers 'not run' for requests that an upstream is running, and against running them a second time: a
+// faulty upstream repeats a refusal on a connection that was kept.
+void t.test('a repeated refusal is not taken for the refusal of the next request', async (test) => {
+  const manifest = createTestManifest([{}], {}, 50);
+  const cluster = await startTestCluster({ manifest, upstreams: [undefined] });
+  const upstream = await startRepeatingUpstream();
+  test.teardown(async () => {
+    await cluster.close();
+    upstream.server.close();
+  });
+  await announceUpstream(cluster.nodes[0]?.outgoingAddress() ?? '', upstream.address);
+  const address = cluster.nodes[0]?.callerAddress() ?? '';
+  const send = (marker: string) => {
+    const headers = { authorization: `Bearer ${cluster.key}`, 'x-marker': marker };
+    return sendRequest({ address, method: 'GET', path: '/statements', headers });
+  };
+  for (let index = 0; index < 5; index += 1) {
+    const refused = await send(`refused${index}`);
+    test.equal(refused.headers['buckthornslip-outcome'], 'not-run');
+    const marker = `run${index}`;
+    const answered = await send(marker);
+    test.equal(answered.status, 200);
+    test.ok(upstream.runs.has(marker));
+  }
+});
--- a/packages/calls/src/lib/http/Exchange.ts
+++ b/packages/calls/src/lib/http/Exchange.ts
@@ -1,3 +1,5 @@
+import type { IncomingMessage } from 'node:http';
+
 import type { CallScope } from './CallScope';
 import type { ConnectionPool } from './ConnectionPool';
 import type { RequestBody } from './RequestBody';
@@ -19,6 +21,11 @@
   readonly idleTimeoutMilliseconds: number;
   /** Called when a connection has been assigned, before the first byte is sent; false cancels the exchange. */
   readonly mayStart?: () => boolean;
+  /**
+   * @returns Whether the connection must not be used again. A faulty server may repeat a refusal, which would then be taken
+   *   for the refusal of the next request.
+   */
+  readonly retiresConnection?: (response: IncomingMessage) => boolean;
   /** Called when the connection is ready and the first byte is about to be sent. */
   readonly onStart?: () => void;
 }
--- a/packages/calls/src/lib/http/exchangeOverHttp.ts
+++ b/packages/calls/src/lib/http/exchangeOverHttp.ts
@@ -167,6 +167,7 @@
     request.on('response', (response: IncomingMessage) => {
       // The close event reports a truncated body. An error without a listener would crash the process.
       response.on('error', () => undefined);
+      if (exchange.retiresConnection?.(response)) request.shouldKeepAlive = false;
       pool.countResponse();
       const latencyMilliseconds = clock.monotonicMilliseconds() - startedAt;
       settle({ kind: 'head', response, latencyMilliseconds });
--- a/packages/calls/src/lib/serving/dispatchToUpstream.ts
+++ b/packages/calls/src/lib/serving/dispatchToUpstream.ts
@@ -213,6 +213,7 @@
     scope,
     idleTimeoutMilliseconds,
     mayStart: () => mayStart(dependencies, call),
+    retiresConnection: isShed,
   });
   if (result.kind === 'head') return acceptHead(dependencies, dispatch, result.response);
   return failureHandlers[result.cause](dependencies, dispatch, result.sent);
--- a/packages/sidecar/src/lib/http/ExchangeRequest.ts
+++ b/packages/sidecar/src/lib/http/ExchangeRequest.ts
@@ -21,4 +21,9 @@
   readonly scope: CallScope;
   /** @returns Whether the response belongs to this request. */
   readonly isExpectedResponse: (response: IncomingMessage) => boolean;
+  /**
+   * @returns Whether the connection must not be used again. A faulty upstream may repeat a refusal, and the id doesn't tell it
+   *   from the answer if the same request is sent once more.
+   */
+  readonly retiresConnection?: (response: IncomingMessage) => boolean;
 }
--- a/packages/sidecar/src/lib/http/exchange.test.ts
+++ b/packages/sidecar/src/lib/http/exchange.test.ts
@@ -144,6 +144,7 @@
       body: { kind: 'whole', bytes: Buffer.alloc(0) },
       scope,
       isExpectedResponse: ({ headers }) => headers['x-id'] === id,
+      retiresConnection: ({ statusCode }) => statusCode === 503,
     }).finally(scope.end);
   };
   await use(get);
@@ -204,6 +205,23 @@
   },
 );
 
+// Guards against the same fault when a request is sent to the same upstream once more: its id doesn't tell a repeated refusal
+// from the answer.
+void t.test('a refused request is sent again on another connection', async (test) => {
+  const repeatRefusal = (socket: Socket, id: string, requests: number): void => {
+    if (requests === 1) socket.write(answerOf(id, 503));
+    else setTimeout(() => socket.write(answerOf(id)), 20);
+    // The copy arrives once the connection carries the next request, if it is used again.
+    if (requests === 1) socket.once('data', () => socket.write(answerOf(id, 503)));
+  };
+  await withEchoServer(repeatRefusal, async (get) => {
+    const refused = await get('first');
+    test.equal(refused.kind === 'whole' && refused.response.statusCode, 503);
+    const answered = await get('first');
+    test.equal(answered.kind === 'whole' && answered.response.statusCode, 200);
+  });
+});
+
 const ENDLESS_PARTS: Readonly<Record<string, { readonly start: string; readonly part: string }>> = {
   'bytes that are no head': { start: '', part: 'x'.repeat(1_024) },
   'a status line without end': { start: 'HTTP/1.1 200 ', part: 'x'.repeat(1_024) },
--- a/packages/sidecar/src/lib/http/exchange.ts
+++ b/packages/sidecar/src/lib/http/exchange.ts
@@ -105,6 +105,7 @@
         return;
       }
       hasHead = true;
+      if (options.retiresConnection?.(response)) request.shouldKeepAlive = false;
       const wasReset = watchUnframedEnd(response);
       const chunks: Buffer[] = [];
       let size = 0;
--- a/packages/sidecar/src/lib/serving/createCallServer.ts
+++ b/packages/sidecar/src/lib/serving/createCallServer.ts
@@ -168,6 +168,7 @@
       scope: call.scope,
       isExpectedResponse: (response) =>
         protocol.readResponse(response.headers).requestId === requestId,
+      retiresConnection: (response) => protocol.readResponse(response.headers).isNotRun,
     })
       .catch(release)
       .finally(endRunning);
