sidecar: nested calls of a repeated run count as retries, and the fleet shares one burst of retries

Cause: a repeated run makes its nested calls again, which the services below count as repeats, but the entry took them for first attempts. Besides, each node could save a burst of its own: 196 nodes with 10.65 each, while the fleet is allowed 213. Change: a call carries whether it or a call above it is repeated; such calls are charged to the budget, which may be overdrawn. The burst is divided by the number of nodes; a part of a token buys a retry with that probability. Test: 'the fleet keeps the ratio also at services below repeated calls', 40 nodes; before, up to 212 repeats where 140 are allowed.

--- a/packages/sidecar/src/lib/channel/createPeerLink.test.ts
+++ b/packages/sidecar/src/lib/channel/createPeerLink.test.ts
@@ -115,6 +115,7 @@
     callerService: 'caller' as ServiceId,
     rank: 0,
     isNested: false,
+    isRepeat: true,
     repeatable: false,
     method: 'POST',
     target: '/path',
--- a/packages/sidecar/src/lib/channel/malformedMessages.test.ts
+++ b/packages/sidecar/src/lib/channel/malformedMessages.test.ts
@@ -60,6 +60,7 @@
     callerService: 'caller' as ServiceId,
     rank: 0,
     isNested: false,
+    isRepeat: false,
     repeatable: false,
     method: 'POST',
     target: '/',
--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -98,7 +98,7 @@
       report: () => undefined,
     },
     refreshMember: (host) => refreshed.push(host),
-    retries: createServiceRetryBudget({ ratio: 0, burst: 0 }),
+    retries: createServiceRetryBudget({ ratio: 0, burst: 0, clock, random, nodeCount: () => 1 }),
     callServer: { serve },
     host: HOST,
     callerService: SERVICE,
@@ -155,7 +155,7 @@
     });
     const now = clock.monotonicMilliseconds();
     const chargedAccount = 'payer' as AccountId;
-    running.add({ requestId: 'parent', rank: 2, chargedAccount }, now, now + 500);
+    running.add({ requestId: 'parent', rank: 2, chargedAccount, isRepeat: false }, now, now + 500);
     await send('/confirm/1', { key: 'urgent-key', timeout: '500' });
     await send('/read/1', { key: 'urgent-key', timeout: '500' });
     await send('/confirm/1', { key: 'other-key', timeout: '500' });
--- a/packages/sidecar/src/lib/entry/createEntry.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.ts
@@ -181,6 +181,7 @@
         rank: accepted.rank,
         isNested: accepted.isNested,
         repeatable: route.repeatable,
+        isRepeat: accepted.parent?.isRepeat ?? false,
         method: request.method as string,
         target: request.url as string,
         headers: forwardableHeaders(request.rawHeaders, { without: protocol.reservedNames }),
--- a/packages/sidecar/src/lib/entry/createForwarder.ts
+++ b/packages/sidecar/src/lib/entry/createForwarder.ts
@@ -6,6 +6,7 @@
 
 import { priorityOfRank } from '../policy/priorityOfRank';
 import type { AttemptResult, UpstreamResponse } from '../serving/AttemptResult';
+import type { CallAttempt } from '../serving/CallAttempt';
 import type { CallProgress } from './createCallProgress';
 import { createCallProgress } from './createCallProgress';
 import type { EntryCall } from './EntryCall';
@@ -62,7 +63,7 @@
   const { clock, host, links, logger, metrics, refreshMember, retries, router, callServer } =
     options;
 
-  const send = async (member: Member, { call }: EntryCall): Promise<AttemptResult> => {
+  const send = async (member: Member, call: CallAttempt): Promise<AttemptResult> => {
     const sentMilliseconds = clock.monotonicMilliseconds();
     const result = await (member.host === host
       ? callServer.serve(call)
@@ -111,7 +112,8 @@
     const { scope } = call;
     const progress = createCallProgress();
     let last: Refusal = refuse('no-upstream');
-    retries.countFirstAttempt(call.service);
+    if (call.isRepeat) retries.countRepeat(call.service);
+    else retries.countFirstAttempt(call.service);
     for (;;) {
       const reason = scope.cancelReason();
       if (reason !== undefined) return progress.finish(refuse(reason));
@@ -125,7 +127,8 @@
         return progress.finish(progress.attempts() > 0 ? last : refuse(chosen.error.kind));
       const member = chosen.value;
       progress.excludedHosts.add(member.host);
-      const { answer } = await send(member, entryCall);
+      const isRepeat = call.isRepeat || progress.upstreamAttempts() > 0;
+      const { answer } = await send(member, isRepeat ? { ...call, isRepeat } : call);
       if (!isRetryable(answer)) {
         if (answer.kind === 'refusal') {
           progress.recordAttempt(answer, member);
--- a/packages/sidecar/src/lib/entry/createServiceRetryBudget.test.ts
+++ b/packages/sidecar/src/lib/entry/createServiceRetryBudget.test.ts
@@ -1,10 +1,10 @@
 import type { ServiceId } from '@buckthornslip/common';
-import { createSeededRandom } from '@buckthornslip/common';
+import { createFakeClock, createSeededRandom } from '@buckthornslip/common';
 import fc from 'fast-check';
 import t from 'tap';
 
 import { createServiceRetryBudget } from './createServiceRetryBudget';
-import type { RetryClaim } from './createServiceRetryBudget';
+import type { RetryClaim, ServiceRetryBudgetSettings } from './createServiceRetryBudget';
 
 const SEED = 20_261_204;
 const SERVICE = 'service' as ServiceId;
@@ -12,13 +12,18 @@
 const SETTINGS = { ratio: 0.1, burst: 3 };
 const NEARLY_DONE = { rank: 0, finishedSiblings: 3 };
 
+function createBudget(settings: ServiceRetryBudgetSettings, clock = createFakeClock(), nodes = 1) {
+  const random = createSeededRandom(SEED);
+  return createServiceRetryBudget({ ...settings, clock, random, nodeCount: () => nodes });
+}
+
 // Guards against retries that add more load to an overloaded service than the ratio allows.
 void t.test('retries stay below the ratio and the burst, in any order', async (test) => {
   fc.assert(
     fc.property(
       fc.array(fc.tuple(fc.boolean(), fc.nat(3), fc.nat(3)), { maxLength: 500 }),
       (steps) => {
-        const budget = createServiceRetryBudget(SETTINGS);
+        const budget = createBudget(SETTINGS);
         let first = 0;
         let retries = 0;
         return steps.every(([isFirst, finishedSiblings, rank]) => {
@@ -37,7 +42,7 @@
 
 // Guards against a failing service that spends the retries of other services.
 void t.test('each service has its own budget', async (test) => {
-  const budget = createServiceRetryBudget(SETTINGS);
+  const budget = createBudget(SETTINGS);
   while (budget.trySpend(SERVICE, NEARLY_DONE));
   test.ok(budget.trySpend(OTHER, { rank: 3, finishedSiblings: 0 }));
 });
@@ -46,7 +51,7 @@
 void t.test('a full bucket allows a retry of any call', async (test) => {
   for (const burst of [1, 1.5, 3]) {
     for (const rank of [0, 1, 2, 3]) {
-      const budget = createServiceRetryBudget({ ratio: 0.1, burst });
+      const budget = createBudget({ ratio: 0.1, burst });
       test.ok(
         budget.trySpend(SERVICE, { rank, finishedSiblings: 0 }),
         `${burst} in the bucket, rank ${rank}`,
@@ -77,7 +82,7 @@
  */
 function countServed(urgentShare: number, claimOf: (parent: Parent) => RetryClaim): Served {
   const random = createSeededRandom(1);
-  const budget = createServiceRetryBudget({ ratio: 0.1, burst: 2.5 });
+  const budget = createBudget({ ratio: 0.1, burst: 2.5 });
   const isRejected = (): boolean => random.next() < REJECTED_SHARE;
   const start = (): Parent => ({
     rank: urgentShare === 1 || random.next() < urgentShare ? 0 : 2,
@@ -137,3 +142,70 @@
     `${prioritized.all} instead of ${uniform.all} served in all`,
   );
 });
+
+const NODES = 40;
+const FLEET_SLACK = 20;
+const FLEET_RATIO = 0.2;
+const NESTED_CALLS = 4;
+const SECONDS = 40;
+const WINDOW_SECONDS = 10;
+const PARENTS_PER_SECOND = 15;
+
+/** Arrivals at a service in each second: first ones, and those beyond the first of each request. */
+interface Arrivals {
+  readonly first: number[];
+  readonly repeated: number[];
+}
+
+/**
+ * Simulates a fleet in which half of the runs at two services fail for 20 s. A repeated parent makes its nested calls again,
+ * through the node at which it runs.
+ */
+async function playFailures(): Promise<readonly Arrivals[]> {
+  const clock = createFakeClock();
+  const random = createSeededRandom(SEED);
+  const settings = { ratio: FLEET_RATIO / 2, burst: FLEET_SLACK / 2 };
+  const nodes = Array.from({ length: NODES }, () => createBudget(settings, clock, NODES));
+  const zeros = (): number[] => new Array<number>(SECONDS).fill(0);
+  const arrivals = [SERVICE, OTHER].map(() => ({ first: zeros(), repeated: zeros() }));
+  let second = 0;
+  const fails = (): boolean => second >= 5 && second < 25 && random.next() < 0.5;
+
+  const call = (depth: number, isRepeat: boolean): void => {
+    const service = depth === 0 ? SERVICE : OTHER;
+    const entry = nodes[random.nextInteger(NODES)]!;
+    const { first, repeated } = arrivals[depth]!;
+    const run = (isRepeatedRun: boolean): boolean => {
+      const counts = isRepeatedRun ? repeated : first;
+      counts[second] = counts[second]! + 1;
+      for (let nested = 0; depth === 0 && nested < NESTED_CALLS; nested += 1) {
+        call(1, isRepeatedRun);
+      }
+      return !fails();
+    };
+    if (isRepeat) entry.countRepeat(service);
+    else entry.countFirstAttempt(service);
+    if (!run(isRepeat) && entry.trySpend(service, NEARLY_DONE)) run(true);
+  };
+  for (; second < SECONDS; second += 1) {
+    for (let count = 0; count < PARENTS_PER_SECOND; count += 1) call(0, false);
+    await clock.advance(1_000);
+  }
+  return arrivals;
+}
+
+// Guards against retries of parents that multiply at the services below them, and against a burst that grows with the number
+// of nodes.
+void t.test('the fleet keeps the ratio also at services below repeated calls', async (test) => {
+  const arrivals = await playFailures();
+  const sum = (counts: readonly number[], from: number): number =>
+    counts.slice(Math.max(0, from), from + WINDOW_SECONDS).reduce((total, one) => total + one, 0);
+  arrivals.forEach(({ first, repeated }, depth) => {
+    for (let from = 0; from <= SECONDS - WINDOW_SECONDS; from += 1) {
+      const allowed = FLEET_RATIO * sum(first, from) + FLEET_SLACK;
+      const found = sum(repeated, from);
+      test.ok(found <= allowed, `depth ${depth}, second ${from}: ${found} of ${allowed} repeats`);
+    }
+    test.ok(repeated.reduce((total, one) => total + one, 0) > 0);
+  });
+});
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -175,6 +175,7 @@
     if (upstream.current()?.state !== 'ready') directory.update({ departure });
   }
 
+  const nodeCount = (): number => directory.livePeers().length + 1;
   const allowanceOf = (account: AccountId) => policy.current()?.accounts.get(account);
   const ledger = createAccountLedger(clock, { allowanceOf, isFirstStart: options.isFirstStart });
   const locator = createLedgerLocator(directory);
@@ -183,7 +184,7 @@
     clock,
     ledgers: createLedgerPeers({ logger, host, ledger, locator, links, suspect }),
     allowanceOf,
-    nodeCount: () => directory.livePeers().length + 1,
+    nodeCount,
   });
 
   const router = createRouter({
@@ -220,7 +221,7 @@
     rateLimiter,
     router,
     refreshMember: suspect,
-    retries: createServiceRetryBudget(options.retries),
+    retries: createServiceRetryBudget({ ...options.retries, clock, random, nodeCount }),
     callServer,
     host,
     callerService: service,
--- a/packages/sidecar/src/lib/serving/CallAttempt.ts
+++ b/packages/sidecar/src/lib/serving/CallAttempt.ts
@@ -24,6 +24,11 @@
   /** Whether an upstream made the call while running another call. */
   readonly isNested: boolean;
   readonly repeatable: boolean;
+  /**
+   * Whether an upstream may already have received this call, or a call above it, in an earlier attempt. The nested calls of
+   * such a run are repeats as well.
+   */
+  readonly isRepeat: boolean;
   readonly method: string;
   readonly target: string;
   /** End-to-end headers of the request, as alternating names and values. */
--- a/packages/sidecar/src/lib/serving/createRunningCalls.test.ts
+++ b/packages/sidecar/src/lib/serving/createRunningCalls.test.ts
@@ -7,6 +7,7 @@
   requestId,
   rank,
   chargedAccount: `account-${requestId}` as AccountId,
+  isRepeat: false,
 });
 
 // Guards against nested calls of an urgent call that queue behind those of less urgent calls.
--- a/packages/sidecar/src/lib/serving/createRunningCalls.ts
+++ b/packages/sidecar/src/lib/serving/createRunningCalls.ts
@@ -1,7 +1,7 @@
 import type { CallAttempt } from './CallAttempt';
 
 /** Properties that a nested call inherits from its parent call. */
-export type ParentCall = Pick<CallAttempt, 'requestId' | 'rank' | 'chargedAccount'>;
+export type ParentCall = Pick<CallAttempt, 'requestId' | 'rank' | 'chargedAccount' | 'isRepeat'>;
 
 /** A running call as the parent of nested calls. */
 export interface RunningParent extends ParentCall {
@@ -52,12 +52,13 @@
 }
 
 function createRunningParent(call: ParentCall): RunningParent {
-  const { chargedAccount, rank, requestId } = call;
+  const { chargedAccount, isRepeat, rank, requestId } = call;
   let finished = 0;
   return {
     requestId,
     rank,
     chargedAccount,
+    isRepeat,
     finishedCalls: () => finished,
     countFinishedCall: () => {
       finished += 1;
