sidecar: limit interim responses of an upstream

Change: the exchange fails after 16 interim responses. Test: 'interim answers without end do not last until the deadline' failed before.

--- a/packages/sidecar/src/lib/http/exchange.test.ts
+++ b/packages/sidecar/src/lib/http/exchange.test.ts
@@ -267,6 +267,15 @@
   });
 }
 
+// Guards against interim answers without end that keep the process busy until the deadline of their request.
+void t.test('interim answers without end do not last until the deadline', async (test) => {
+  const endless = (socket: Socket): void =>
+    writeEndlessly(socket, '', 'HTTP/1.1 103 Early Hints\r\n\r\n');
+  await withServer(endless, async (get) => {
+    test.match(await get(), { kind: 'failed', failure: 'truncated', sent: true });
+  });
+});
+
 // Guards against a long response that never ends and is received beyond the deadline of its request.
 void t.test('a response without end is cut off at the deadline', async (test) => {
   let closed: Promise<unknown> | undefined;
--- a/packages/sidecar/src/lib/http/exchange.ts
+++ b/packages/sidecar/src/lib/http/exchange.ts
@@ -10,6 +10,9 @@
 /** Longest response that is buffered until it is complete, in bytes. Longer ones are streamed. */
 const MAXIMUM_BUFFERED_RESPONSE_BYTES = 131_072;
 
+/** Most interim (1xx) responses of one request. Without a limit, their events would delay the timers of the process. */
+const MAXIMUM_INTERIM_RESPONSES = 16;
+
 function sendBody({ body }: ExchangeRequest, request: ClientRequest): void {
   if (body.kind === 'whole') {
     request.end(body.bytes.length > 0 ? body.bytes : undefined);
@@ -59,6 +62,7 @@
     let hasHead = false;
     let stopListening: (() => void) | undefined;
     let connectTimer: NodeJS.Timeout | undefined;
+    let interimResponses = 0;
     const request = httpRequest({
       agent: pool.agent,
       host: pool.host,
@@ -98,6 +102,10 @@
         isSent = true;
       });
     });
+    request.on('information', () => {
+      interimResponses += 1;
+      if (interimResponses > MAXIMUM_INTERIM_RESPONSES) fail('truncated');
+    });
     request.once('response', (response: IncomingMessage) => {
       if (!options.isExpectedResponse(response)) {
         response.once('error', ignoreLateError);
