sidecar: calls that upstreams refuse are not throttled

Cause: the throttle of the entry lets fewer calls of a class through while few of them succeed. Change: an answer says whether a call failed because an upstream refused it, or a call below it, that its node had admitted; such failures don't count for the throttle. In an overload the nodes refuse first, which counts as before. Test: 'calls that upstreams refuse are not throttled' failed before.

--- a/packages/sidecar/src/lib/channel/callFrames.ts
+++ b/packages/sidecar/src/lib/channel/callFrames.ts
@@ -79,6 +79,7 @@
  */
 export function toAnswerMessage(id: number, result: AttemptResult): channelMessages.Answer {
   const { answer, load } = result;
+  const shed = result.isShed ?? false;
   if (answer.kind === 'refusal') {
     return {
       id,
@@ -90,6 +91,7 @@
       body: NO_BYTES,
       bodyFollows: false,
       load,
+      shed,
     };
   }
   return {
@@ -102,6 +104,7 @@
     body: answer.body,
     bodyFollows: answer.rest !== undefined,
     load,
+    shed,
   };
 }
 
@@ -115,7 +118,7 @@
   message: channelMessages.Answer,
   rest: Readable | undefined,
 ): AttemptResult {
-  const { load, refusalOutcome, refusalReason, retryAfterMilliseconds } = message;
+  const { load, refusalOutcome, refusalReason, retryAfterMilliseconds, shed: isShed } = message;
   if (refusalReason === '') {
     return {
       answer: {
@@ -126,6 +129,7 @@
         rest,
       },
       load,
+      isShed,
     };
   }
   const isKnown = refusalReason in refusalCatalogue && OUTCOMES.has(refusalOutcome);
@@ -133,6 +137,6 @@
   const refusal = isKnown
     ? refuse(refusalReason as RefusalReason, refusalOutcome as Outcome)
     : refuse('upstream-failed', 'may-have-run');
-  if (retryAfterMilliseconds < 0) return { answer: refusal, load };
-  return { answer: { ...refusal, retryAfterMilliseconds }, load };
+  const answer = retryAfterMilliseconds < 0 ? refusal : { ...refusal, retryAfterMilliseconds };
+  return { answer, load, isShed };
 }
--- a/packages/sidecar/src/lib/entry/ForwardResult.ts
+++ b/packages/sidecar/src/lib/entry/ForwardResult.ts
@@ -14,4 +14,6 @@
   readonly attempts: number;
   /** Node that produced the result. */
   readonly host: HostId | undefined;
+  /** Whether an attempt failed because an upstream refused it, or a call below it, that its node had admitted. */
+  readonly isShed?: boolean;
 }
--- a/packages/sidecar/src/lib/entry/createCallProgress.ts
+++ b/packages/sidecar/src/lib/entry/createCallProgress.ts
@@ -2,7 +2,7 @@
 import type { HostId, Outcome } from '@buckthornslip/common';
 import type { Member } from '@buckthornslip/membership';
 
-import type { UpstreamResponse } from '../serving/AttemptResult';
+import type { AttemptResult, UpstreamResponse } from '../serving/AttemptResult';
 import type { ForwardResult } from './ForwardResult';
 
 /**
@@ -19,7 +19,7 @@
   /** @returns Whether the call has run, as far as the attempts show. */
   readonly outcome: () => Outcome;
   /** Records an attempt that ended in a refusal or a server error. */
-  readonly recordAttempt: (answer: UpstreamResponse | Refusal, member: Member) => void;
+  readonly recordAttempt: (result: AttemptResult, member: Member) => void;
   /** @returns The first error response of an upstream if there was one, otherwise the refusal. */
   readonly finish: (refusal: Refusal, member?: Member) => ForwardResult;
   /** Discards the recorded error response and closes its body. */
@@ -40,14 +40,16 @@
   let attempts = 0;
   let upstreamAttempts = 0;
   let outcome: Outcome = 'not-run';
+  let isShed = false;
   let firstFailure: { readonly answer: UpstreamResponse; readonly host: HostId } | undefined;
   return {
     excludedHosts: new Set(),
     attempts: () => attempts,
     upstreamAttempts: () => upstreamAttempts,
     outcome: () => outcome,
-    recordAttempt: (answer, member) => {
+    recordAttempt: ({ answer, ...result }, member) => {
       attempts += 1;
+      isShed ||= result.isShed ?? false;
       if (mayHaveReachedUpstream(answer)) upstreamAttempts += 1;
       if (answer.kind === 'answer') {
         outcome = 'ran';
@@ -55,8 +57,8 @@
       } else if (answer.outcome !== 'not-run' && outcome === 'not-run') outcome = answer.outcome;
     },
     finish: (refusal, member) => {
-      if (firstFailure) return { answer: firstFailure.answer, attempts, host: firstFailure.host };
-      return { answer: { ...refusal, outcome }, attempts, host: member?.host };
+      if (firstFailure) return { ...firstFailure, attempts, isShed };
+      return { answer: { ...refusal, outcome }, attempts, host: member?.host, isShed };
     },
     discardFailure: () => firstFailure?.answer.rest?.destroy(),
   };
--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -173,6 +173,34 @@
   },
 );
 
+// Guards against refusing calls at the entry that have the same chance as the others: upstreams that refuse a share of all calls,
+// whatever their load, do not serve more of them if fewer are sent.
+void t.test('calls that upstreams refuse are not throttled', async (test) => {
+  let runs = 0;
+  const { clock, close, running, send } = await startEntry(async (call) => {
+    runs += 1;
+    if (call.route === 'inner')
+      return { answer: refuse('upstream-shed'), load: undefined, isShed: true };
+    if (runs % 2 === 0) return answered();
+    return { answer: refuse('upstream-failed', 'ran'), load: undefined, isShed: true };
+  });
+  const startedMilliseconds = clock.monotonicMilliseconds();
+  let sent = 0;
+  while (clock.monotonicMilliseconds() - startedMilliseconds < 1_500) {
+    await send('/read/1', { key: 'other-key' });
+    sent += 1;
+    await clock.advance(2);
+  }
+  test.equal(runs, sent);
+  const now = clock.monotonicMilliseconds();
+  const parent = { requestId: 'p', rank: 0, chargedAccount: undefined, isRepeat: false };
+  const tracked = running.add(parent, now, now + 500);
+  test.notOk(tracked.hasShedCall());
+  await send('/inner/1', { timeout: '500' });
+  test.ok(tracked.hasShedCall(), 'the parent fails for the same reason');
+  close();
+});
+
 // Guards against nested calls of a repeated run that are taken for first attempts: the services below would get more repeats
 // than the fleet is allowed.
 void t.test('nested calls of a repeated run are repeats', async (test) => {
--- a/packages/sidecar/src/lib/entry/createEntry.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.ts
@@ -116,6 +116,7 @@
   ): Promise<ForwardResult> => {
     const result = await forwarder.forward(call);
     if (isSuccess(result.answer)) parent?.countFinishedCall();
+    else if (result.isShed) parent?.recordShedCall();
     return result;
   };
 
@@ -129,9 +130,11 @@
     if (!started) return notSent(refuse('priority-cutoff'));
     const result = await forwarder.forward(call);
     const { answer } = result;
-    if (answer.kind === 'answer' || answer.reason !== 'caller-gone') {
-      started.finish(isSuccess(answer));
-    }
+    const isCallerGone = answer.kind === 'refusal' && answer.reason === 'caller-gone';
+    // If upstreams refuse calls that their nodes have admitted, throttling would not let more of the others succeed.
+    const showsOverload = !isCallerGone && !result.isShed;
+    if (isSuccess(answer)) started.finish(true);
+    else if (showsOverload) started.finish(false);
     return result;
   };
 
--- a/packages/sidecar/src/lib/entry/createForwarder.ts
+++ b/packages/sidecar/src/lib/entry/createForwarder.ts
@@ -129,16 +129,17 @@
       const member = chosen.value;
       progress.excludedHosts.add(member.host);
       const isRepeat = call.isRepeat || progress.upstreamAttempts() > 0;
-      const { answer } = await send(member, isRepeat ? { ...call, isRepeat } : call);
+      const result = await send(member, isRepeat ? { ...call, isRepeat } : call);
+      const { answer } = result;
       if (!isRetryable(answer, progress)) {
         if (answer.kind === 'refusal') {
-          progress.recordAttempt(answer, member);
+          progress.recordAttempt(result, member);
           return progress.finish(answer, member);
         }
         progress.discardFailure();
         return { answer, attempts: progress.attempts() + 1, host: member.host };
       }
-      progress.recordAttempt(answer, member);
+      progress.recordAttempt(result, member);
       if (answer.kind === 'refusal') last = answer;
       const isRepeated = mayRetry(entryCall, progress) && spendRetry(entryCall, progress);
       logger.log('attemptEnded', {
--- a/packages/sidecar/src/lib/serving/AttemptResult.ts
+++ b/packages/sidecar/src/lib/serving/AttemptResult.ts
@@ -23,4 +23,9 @@
 export interface AttemptResult {
   readonly answer: UpstreamResponse | Refusal;
   readonly load: LoadReport | undefined;
+  /**
+   * Whether the call failed because an upstream refused it, or a call below it, that its node had admitted. Sending fewer calls
+   * would not help then.
+   */
+  readonly isShed?: boolean;
 }
--- a/packages/sidecar/src/lib/serving/createCallServer.ts
+++ b/packages/sidecar/src/lib/serving/createCallServer.ts
@@ -42,6 +42,9 @@
   readonly serve: (call: CallAttempt) => Promise<AttemptResult>;
 }
 
+/** Result of a call at the upstream. */
+type ServedCall = Omit<AttemptResult, 'load'>;
+
 type PermitOutcome = Parameters<AdmissionPermit['release']>[0];
 
 /** Call depth that admission uses for every nested call; calls without a parent have depth 0. */
@@ -55,6 +58,14 @@
   cancelled: 'caller-gone',
 };
 
+function isShed(answer: UpstreamResponse | Refusal): boolean {
+  return answer.kind === 'refusal' && answer.reason === 'upstream-shed';
+}
+
+function hasFailed(answer: UpstreamResponse | Refusal): boolean {
+  return answer.kind === 'refusal' || isServerError(answer.status);
+}
+
 function isWrongInstance(status: number): boolean {
   return status === 421;
 }
@@ -145,7 +156,7 @@
     call: CallAttempt,
     view: UpstreamView,
     permit: AdmissionPermit,
-  ): Promise<UpstreamResponse | Refusal> => {
+  ): Promise<ServedCall> => {
     const remainingMilliseconds = Math.max(1, Math.floor(call.scope.remainingMilliseconds()));
     const { account, callerService, requestId } = call;
     const upstreamId = view.instance.id;
@@ -156,7 +167,7 @@
       remainingMilliseconds,
     });
     const now = clock.monotonicMilliseconds();
-    const endRunning = running.add(call, now, now + remainingMilliseconds);
+    const tracked = running.add(call, now, now + remainingMilliseconds);
     const release = (error: unknown): never => {
       permit.release('failed');
       throw error;
@@ -173,7 +184,7 @@
       retiresConnection: (response) => protocol.readResponse(response.headers).isNotRun,
     })
       .catch(release)
-      .finally(endRunning);
+      .finally(tracked.end);
     const answer = toAnswer(call, view, result);
     const outcome = permitOutcome(result, answer);
     if (answer.kind === 'answer' && answer.rest)
@@ -189,7 +200,7 @@
         failure: result.kind === 'failed' ? result.failure : undefined,
       });
     }
-    return answer;
+    return { answer, isShed: isShed(answer) || (hasFailed(answer) && tracked.hasShedCall()) };
   };
 
   /** Counts a call that is about to be sent to the upstream. */
@@ -207,9 +218,9 @@
     return undefined;
   };
 
-  const admit = async (call: CallAttempt): Promise<UpstreamResponse | Refusal> => {
+  const admit = async (call: CallAttempt): Promise<ServedCall> => {
     const refusal = refuseByState(call, upstream.current());
-    if (refusal) return refusal;
+    if (refusal) return { answer: refusal };
     const request: AdmissionRequest = {
       account: call.chargedAccount,
       priority: priorityOfRank(call.rank),
@@ -225,7 +236,7 @@
       const { requestId, rank } = call;
       const { kind: reason } = admitted.error;
       logger.log('admissionRefused', { requestId, rank, reason, ...load });
-      return refuse(reason);
+      return { answer: refuse(reason) };
     }
     // The state may have changed while the call was queued.
     const view = upstream.current();
@@ -234,15 +245,15 @@
       refuseByState(call, view) ?? (cancelled ? refuse(cancelled) : refuseRepeat(call));
     if (lateRefusal) {
       admitted.value.release('cancelled');
-      return lateRefusal;
+      return { answer: lateRefusal };
     }
     return run(call, view as UpstreamView, admitted.value);
   };
 
   return {
     serve: async (call) => {
-      const answer = await admit(call);
-      return { answer, load: admission.load() };
+      const served = await admit(call);
+      return { ...served, load: admission.load() };
     },
   };
 }
--- a/packages/sidecar/src/lib/serving/createRunningCalls.test.ts
+++ b/packages/sidecar/src/lib/serving/createRunningCalls.test.ts
@@ -39,7 +39,7 @@
 // Guards against matching a parent that has ended or a call that is unrelated.
 void t.test('no parent is assumed if none matches', async (test) => {
   const calls = createRunningCalls();
-  const end = calls.add(call('ended', 0), 1_000, 2_500);
+  const { end } = calls.add(call('ended', 0), 1_000, 2_500);
   end();
   calls.add(call('other', 0), 1_700, 4_000);
   const nested = { route: 'inner', nowMilliseconds: 1_200, remainingMilliseconds: 1_299 };
--- a/packages/sidecar/src/lib/serving/createRunningCalls.ts
+++ b/packages/sidecar/src/lib/serving/createRunningCalls.ts
@@ -8,6 +8,16 @@
   /** @returns Nested calls that have completed successfully. */
   readonly finishedCalls: () => number;
   readonly countFinishedCall: () => void;
+  /** Records that a nested call failed because an upstream refused it. */
+  readonly recordShedCall: () => void;
+}
+
+/** A call that the upstream is running. */
+interface TrackedCall {
+  /** Removes the call. */
+  readonly end: () => void;
+  /** @returns Whether a nested call failed because an upstream refused it. */
+  readonly hasShedCall: () => boolean;
 }
 
 /** A call that the upstream makes while it is running other calls. */
@@ -28,13 +38,13 @@
    * @param call - A call that is sent to the upstream.
    * @param startedMilliseconds - Monotonic time at which it is sent, in milliseconds.
    * @param deadlineMilliseconds - Deadline stated to the upstream, on the same clock.
-   * @returns A function that removes the call.
+   * @returns The tracked call.
    */
   readonly add: (
     call: ParentCall,
     startedMilliseconds: number,
     deadlineMilliseconds: number,
-  ) => () => void;
+  ) => TrackedCall;
   /** @returns The parent of a nested call; undefined if none matches. */
   readonly findParent: (nested: NestedCall) => RunningParent | undefined;
 }
@@ -46,14 +56,15 @@
 const START_TOLERANCE_MILLISECONDS = 12;
 
 interface RunningCall {
-  readonly call: RunningParent;
+  readonly call: RunningParent & Pick<TrackedCall, 'hasShedCall'>;
   readonly startedMilliseconds: number;
   readonly deadlineMilliseconds: number;
 }
 
-function createRunningParent(call: ParentCall): RunningParent {
+function createRunningParent(call: ParentCall): RunningCall['call'] {
   const { chargedAccount, isRepeat, rank, requestId } = call;
   let finished = 0;
+  let hasShedCall = false;
   return {
     requestId,
     rank,
@@ -63,6 +74,10 @@
     countFinishedCall: () => {
       finished += 1;
     },
+    recordShedCall: () => {
+      hasShedCall = true;
+    },
+    hasShedCall: () => hasShedCall,
   };
 }
 
@@ -104,7 +119,12 @@
     add: (call, startedMilliseconds, deadlineMilliseconds) => {
       const entry = { call: createRunningParent(call), startedMilliseconds, deadlineMilliseconds };
       running.add(entry);
-      return () => running.delete(entry);
+      return {
+        end: () => {
+          running.delete(entry);
+        },
+        hasShedCall: entry.call.hasShedCall,
+      };
     },
     findParent: (nested) => {
       const deadline = nested.nowMilliseconds + nested.remainingMilliseconds;
