sidecar, limits: requests right after a restart wait for the policy, and moved ledgers start with a few tokens

Change: the entry waits up to 1 s for the first policy, within the deadline of the request. A bucket from which an earlier node may have granted tokens starts with five, within the overshoot that operators allow. Tests: 'a request waits for the first policy' failed before (503); 'no window exceeds the limit of the account' holds unchanged.

--- a/packages/limits/src/lib/ledger/createAccountLedger.ts
+++ b/packages/limits/src/lib/ledger/createAccountLedger.ts
@@ -16,11 +16,18 @@
 /** Retry delay for unknown accounts, which a newer policy may contain by then, in milliseconds. */
 const UNKNOWN_ACCOUNT_RETRY_MILLISECONDS = 1_000;
 
+/**
+ * Initial tokens of a bucket from which an earlier node may have granted tokens. Without any, a small account would be refused
+ * for seconds after each move of its ledger. Three moves within a few seconds stay below the overshoot that operators allow,
+ * which is 20 requests and a tenth of the limit.
+ */
+const MOVED_BUCKET_TOKENS = 5;
+
 const NO_ALLOWANCE: AccountAllowance = { ratePerSecond: 0, burst: 0 };
 
 /**
- * Creates a ledger. A bucket from which an earlier node may have granted tokens starts empty: the account gets its rate
- * at once and its burst as the bucket refills, so it never exceeds its limit.
+ * Creates a ledger. A bucket from which an earlier node may have granted tokens starts with few: the account gets its rate
+ * at once and its burst as the bucket refills, so it exceeds its limit by these tokens at most.
  *
  * @param clock - Source of time.
  * @param options - Dependencies and settings.
@@ -40,7 +47,9 @@
     );
     const age = clock.monotonicMilliseconds() - startedMilliseconds;
     const startsFull = options.isFirstStart && age < FIRST_START_PERIOD_MILLISECONDS;
-    const bucket = createTokenBucket(clock, allowance, startsFull ? allowance().burst : 0);
+    const { burst } = allowance();
+    const initialTokens = startsFull ? burst : Math.min(burst, MOVED_BUCKET_TOKENS);
+    const bucket = createTokenBucket(clock, allowance, initialTokens);
     const created = createTokenRequestQueue(clock, bucket, allowance);
     queues.set(account, created);
     return created;
--- a/packages/sidecar/src/lib/entry/createEntry.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.ts
@@ -39,6 +39,12 @@
 /** Memory of buffered uploads, in bytes; the smallest machines have 250 MB. Further uploads are streamed. */
 const UPLOAD_BUDGET_BYTES = 33_554_432;
 
+/**
+ * Longest time for which a request waits for the first policy after a start, in milliseconds. The store usually answers within
+ * a fraction of it, and a caller that is refused comes back only once.
+ */
+const POLICY_WAIT_MILLISECONDS = 1_000;
+
 function isSuccess(answer: ForwardResult['answer']): boolean {
   return answer.kind === 'answer' && !isServerError(answer.status);
 }
@@ -151,10 +157,12 @@
     request: IncomingMessage,
     response: ServerResponse,
     accepted: AcceptedRequest,
+    arrivedMilliseconds: number,
   ): Promise<ForwardResult | undefined> => {
     const { account, entry, head } = accepted;
     const { route } = entry;
-    const scope = createCallScope(clock, timeoutOf(head, route));
+    const waitedMilliseconds = clock.monotonicMilliseconds() - arrivedMilliseconds;
+    const scope = createCallScope(clock, timeoutOf(head, route) - waitedMilliseconds);
     response.once('close', () => {
       if (!response.writableFinished) scope.cancel('caller-gone');
       scope.end();
@@ -209,6 +217,10 @@
   const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const arrivedMilliseconds = clock.monotonicMilliseconds();
     const head = protocol.readRequest(request.headers);
+    if (!policy.current()) {
+      await Promise.race([policy.whenAvailable(), clock.sleep(POLICY_WAIT_MILLISECONDS)]);
+      if (response.destroyed) return;
+    }
     const accepted = acceptor.accept(request, head);
     if (!accepted.ok) {
       const status = reject(request, response, accepted.error, 0);
@@ -220,7 +232,7 @@
       });
       return;
     }
-    const result = await run(request, response, accepted.value);
+    const result = await run(request, response, accepted.value, arrivedMilliseconds);
     if (!result) return;
     const status = await finish(request, response, accepted.value, result);
     const milliseconds = Math.round(clock.monotonicMilliseconds() - arrivedMilliseconds);
--- a/packages/sidecar/src/lib/policy/PolicyWatcher.ts
+++ b/packages/sidecar/src/lib/policy/PolicyWatcher.ts
@@ -8,6 +8,8 @@
 export interface PolicyWatcher {
   /** @returns The newest known policy, or undefined if none has been received yet. */
   readonly current: () => CallPolicy | undefined;
+  /** @returns A promise that resolves when the first policy is in force. */
+  readonly whenAvailable: () => Promise<void>;
   /** @returns The encoded current policy, to be sent to peers. */
   readonly currentBytes: () => Uint8Array | undefined;
   /** Applies a policy received from another node if it is newer. */
--- a/packages/sidecar/src/lib/policy/createPolicyWatcher.ts
+++ b/packages/sidecar/src/lib/policy/createPolicyWatcher.ts
@@ -41,6 +41,10 @@
   let policyBytes: Uint8Array | undefined;
   let subscription: Subscription | undefined;
   let isClosed = false;
+  let resolveAvailable = (): void => undefined;
+  const available = new Promise<void>((resolve) => {
+    resolveAvailable = resolve;
+  });
   /** Number of the current run of the watch; an earlier run ends itself. */
   let run = 0;
 
@@ -57,6 +61,7 @@
     policyBytes = bytes;
     logger.log('policyInForce', { source, revision: next.revision, previous });
     onChange(next);
+    resolveAvailable();
   };
 
   const applyEntry = (entry: StoreEntry): void => {
@@ -100,6 +105,7 @@
 
   return {
     current: () => policy,
+    whenAvailable: () => available,
     currentBytes: () => policyBytes,
     offer: apply,
     setFollowing: (follows) => {
