sidecar: the burst of repeated calls is earned, so that restarts do not renew it

Cause: found in reading the change: each restart of a node would have renewed its share of the service's burst, and a rolling restart that of the whole service within the window of the bound. Test: 'a node that restarts has one repeated call' failed before.

--- a/packages/sidecar/src/lib/serving/createRepeatLimit.test.ts
+++ b/packages/sidecar/src/lib/serving/createRepeatLimit.test.ts
@@ -32,7 +32,16 @@
   test.pass('the bound held in 500 runs');
 });
 
-// Guards against upstreams that never get a repeated call because their share of the burst is below one.
+// Guards against a burst that each restart of a node renews.
+void t.test('a node that restarts has one repeated call', async (test) => {
+  const limit = createRepeatLimit({ ...SETTINGS, upstreamCount: () => UPSTREAMS });
+  test.ok(limit.tryRepeat());
+  test.notOk(limit.tryRepeat());
+  for (let first = 0; first < 5; first += 1) limit.countFirstAttempt();
+  test.ok(limit.tryRepeat());
+});
+
+// Guards against an upstream that never gets a repeated call because its share of the burst is below one.
 void t.test('an upstream of a large service gets a repeated call', async (test) => {
   const limit = createRepeatLimit({ ...SETTINGS, upstreamCount: () => 1_000 });
   test.ok(limit.tryRepeat());
--- a/packages/sidecar/src/lib/serving/createRepeatLimit.ts
+++ b/packages/sidecar/src/lib/serving/createRepeatLimit.ts
@@ -19,12 +19,12 @@
  * nested calls a repeated call makes again.
  *
  * @param options - Ratio and burst of the service, and the number of its upstreams.
- * @returns A limit with a full burst.
+ * @returns A limit that allows one repeated call; first attempts earn the rest, so that restarts do not renew the burst.
  * @internal
  */
 export function createRepeatLimit(options: RepeatLimitOptions): RepeatLimit {
   const { burst, ratio, upstreamCount } = options;
-  let tokens = Infinity;
+  let tokens = 1;
   const refill = (earned: number): void => {
     tokens = Math.min(Math.max(1, burst / Math.max(1, upstreamCount())), tokens + earned);
   };
