sidecar: the tests of the first policy do not depend on real time

They advanced the fake clock while the request was still on its way. The assertions are unchanged; without the wait, the first fails as before.

--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -140,7 +140,11 @@
     server.close();
     server.closeAllConnections();
   };
-  return { clock, send, running, close, refreshed };
+  /** Resolves when a request has been read. */
+  const received = async (): Promise<void> => {
+    while (entry.inProgress() === 0) await sleep(1);
+  };
+  return { clock, send, received, running, close, refreshed };
 }
 
 const answered = (body = 'ok') =>
@@ -182,7 +186,7 @@
 // Guards against refusing the requests that callers send to a node right after its restart.
 void t.test('a request waits for the first policy', async (test) => {
   const seen: CallAttempt[] = [];
-  const { clock, close, send } = await startEntry(
+  const { clock, close, received, send } = await startEntry(
     async (call) => {
       seen.push(call);
       return answered();
@@ -190,10 +194,8 @@
     { policyMilliseconds: 300 },
   );
   const status = send('/read/1', { key: 'other-key', timeout: '800' });
-  for (let step = 0; step < 40; step += 1) {
-    await sleep(5);
-    await clock.advance(10);
-  }
+  await received();
+  await clock.advance(300);
   test.equal(await status, 200);
   const remaining = seen[0]!.scope.remainingMilliseconds();
   test.ok(remaining <= 500, `the wait counts towards its deadline: ${remaining} ms left`);
@@ -202,14 +204,12 @@
 
 // Guards against holding requests for long at a node that gets no policy.
 void t.test('a request does not wait long for a policy', async (test) => {
-  const { clock, close, send } = await startEntry(async () => answered(), {
+  const { clock, close, received, send } = await startEntry(async () => answered(), {
     policyMilliseconds: 60_000,
   });
   const status = send('/read/1', { key: 'other-key' });
-  for (let step = 0; step < 40; step += 1) {
-    await sleep(5);
-    await clock.advance(50);
-  }
+  await received();
+  await clock.advance(1_000);
   test.equal(await status, 503);
   close();
 });
