--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -142,7 +142,7 @@
   };
   /** Resolves when a request has been read. */
   const received = async (): Promise<void> => {
-    while (entry.inProgress() === 0) await sleep(1);
+    while (entry.inProgress() === 0 && server.listening) await sleep(1);
   };
   return { clock, send, received, running, close, refreshed };
 }
@@ -194,7 +194,7 @@
     { policyMilliseconds: 300 },
   );
   const status = send('/read/1', { key: 'other-key', timeout: '800' });
-  await received();
+  await Promise.race([received(), status]);
   await clock.advance(300);
   test.equal(await status, 200);
   const remaining = seen[0]!.scope.remainingMilliseconds();
@@ -208,7 +208,7 @@
     policyMilliseconds: 60_000,
   });
   const status = send('/read/1', { key: 'other-key' });
-  await received();
+  await Promise.race([received(), status]);
   await clock.advance(1_000);
   test.equal(await status, 503);
   close();
