--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -144,7 +144,18 @@
   const received = async (): Promise<void> => {
     while (entry.inProgress() === 0 && server.listening) await sleep(1);
   };
-  return { clock, send, received, running, close, refreshed };
+  /** Sends requests one after the other for 1.5 s, and returns their number. */
+  const sendRepeatedly = async (): Promise<number> => {
+    const startedMilliseconds = clock.monotonicMilliseconds();
+    let sent = 0;
+    while (clock.monotonicMilliseconds() - startedMilliseconds < 1_500) {
+      await send('/read/1', { key: 'other-key' });
+      sent += 1;
+      await clock.advance(2);
+    }
+    return sent;
+  };
+  return { clock, send, sendRepeatedly, received, running, close, refreshed };
 }
 
 const answered = (body = 'ok') =>
@@ -218,20 +229,14 @@
 // whatever their load, do not serve more of them if fewer are sent.
 void t.test('calls that upstreams refuse are not throttled', async (test) => {
   let runs = 0;
-  const { clock, close, running, send } = await startEntry(async (call) => {
+  const { clock, close, running, send, sendRepeatedly } = await startEntry(async (call) => {
     runs += 1;
     if (call.route === 'inner')
       return { answer: refuse('upstream-shed'), load: undefined, isShed: true };
     if (runs % 2 === 0) return answered();
     return { answer: refuse('upstream-failed', 'ran'), load: undefined, isShed: true };
   });
-  const startedMilliseconds = clock.monotonicMilliseconds();
-  let sent = 0;
-  while (clock.monotonicMilliseconds() - startedMilliseconds < 1_500) {
-    await send('/read/1', { key: 'other-key' });
-    sent += 1;
-    await clock.advance(2);
-  }
+  const sent = await sendRepeatedly();
   test.equal(runs, sent);
   const now = clock.monotonicMilliseconds();
   const parent = { requestId: 'p', rank: 0, chargedAccount: undefined, isRepeat: false };
@@ -268,18 +273,12 @@
   'calls of a failing class are throttled, other classes and nested calls are not',
   async (test) => {
     let runs = 0;
-    const { clock, close, send } = await startEntry(async (call) => {
+    const { close, send, sendRepeatedly } = await startEntry(async (call) => {
       if (call.route !== 'read') return answered();
       runs += 1;
       return { answer: refuse('queue-timeout'), load: undefined };
     });
-    const startedMilliseconds = clock.monotonicMilliseconds();
-    let sent = 0;
-    while (clock.monotonicMilliseconds() - startedMilliseconds < 1_500) {
-      await send('/read/1', { key: 'other-key' });
-      sent += 1;
-      await clock.advance(2);
-    }
+    const sent = await sendRepeatedly();
     test.ok(runs < sent / 2, `${runs} of ${sent} started`);
     test.equal(await send('/confirm/1', { key: 'other-key' }), 200);
     test.equal(await send('/inner/1', {}), 200);
--- a/packages/sidecar/src/lib/http/exchange.test.ts
+++ b/packages/sidecar/src/lib/http/exchange.test.ts
@@ -1,4 +1,4 @@
-import type { AddressInfo, Socket } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
 import { createServer } from 'node:net';
 
 import { createCallScope } from '@buckthornslip/calls';
@@ -7,6 +7,7 @@
 
 import { createConnectionPool } from './createConnectionPool';
 import { exchange } from './exchange';
+import type { ExchangeRequest } from './ExchangeRequest';
 import type { ExchangeResult } from './ExchangeResult';
 
 const clock = createSystemClock();
@@ -16,6 +17,36 @@
 const UNFRAMED = 'HTTP/1.1 200 OK\r\n\r\npart';
 const FRAMED = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok';
 
+async function listenWithPool(
+  server: Server,
+  maximumConnections: number,
+): Promise<ReturnType<typeof createConnectionPool>> {
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  return createConnectionPool({
+    address: `127.0.0.1:${port}`,
+    maximumConnections,
+    idleMilliseconds: 1_000,
+    connectMilliseconds: 300,
+  });
+}
+
+function getWithin(
+  milliseconds: number,
+  request: Pick<ExchangeRequest, 'pool' | 'target' | 'isExpectedResponse' | 'retiresConnection'>,
+): Promise<ExchangeResult> {
+  const scope = createCallScope(clock, milliseconds);
+  return exchange({
+    method: 'GET',
+    headers: ['Host', 'calls.example'],
+    body: { kind: 'whole', bytes: Buffer.alloc(0) },
+    scope,
+    ...request,
+  }).finally(scope.end);
+}
+
 async function withServer(
   answer: (socket: Socket, connections: number) => void,
   use: (get: () => Promise<ExchangeResult>) => Promise<void>,
@@ -27,28 +58,13 @@
     socket.on('error', () => undefined);
     socket.on('data', () => answer(socket, count));
   });
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as AddressInfo;
-  const pool = createConnectionPool({
-    address: `127.0.0.1:${port}`,
-    maximumConnections: 4,
-    idleMilliseconds: 1_000,
-    connectMilliseconds: 300,
-  });
-  const get = (): Promise<ExchangeResult> => {
-    const scope = createCallScope(clock, 1_000);
-    return exchange({
+  const pool = await listenWithPool(server, 4);
+  const get = (): Promise<ExchangeResult> =>
+    getWithin(1_000, {
       pool,
-      method: 'GET',
       target: '/',
-      headers: ['Host', 'calls.example'],
-      body: { kind: 'whole', bytes: Buffer.alloc(0) },
-      scope,
       isExpectedResponse: ({ headers }) => headers.foreign === undefined,
-    }).finally(scope.end);
-  };
+    });
   await use(get);
   pool.close();
   server.close();
@@ -124,29 +140,14 @@
       afterAnswer(socket, id, requests);
     });
   });
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as AddressInfo;
-  const pool = createConnectionPool({
-    address: `127.0.0.1:${port}`,
-    maximumConnections: 1,
-    idleMilliseconds: 1_000,
-    connectMilliseconds: 300,
-  });
-  const get = (id: string): Promise<ExchangeResult> => {
-    const scope = createCallScope(clock, 1_000);
-    return exchange({
+  const pool = await listenWithPool(server, 1);
+  const get = (id: string): Promise<ExchangeResult> =>
+    getWithin(1_000, {
       pool,
-      method: 'GET',
       target: `/${id}`,
-      headers: ['Host', 'calls.example'],
-      body: { kind: 'whole', bytes: Buffer.alloc(0) },
-      scope,
       isExpectedResponse: ({ headers }) => headers['x-id'] === id,
       retiresConnection: ({ statusCode }) => statusCode === 503,
-    }).finally(scope.end);
-  };
+    });
   await use(get);
   pool.close();
   server.close();
@@ -286,16 +287,7 @@
     });
     socket.once('data', () => writeEndlessly(socket, UNFRAMED, 'x'.repeat(65_536)));
   });
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as AddressInfo;
-  const pool = createConnectionPool({
-    address: `127.0.0.1:${port}`,
-    maximumConnections: 1,
-    idleMilliseconds: 1_000,
-    connectMilliseconds: 300,
-  });
+  const pool = await listenWithPool(server, 1);
   const scope = createCallScope(clock, 500);
   const result = await exchange({
     pool,
