--- a/packages/platform/src/lib/store/StoreEvent.ts
+++ b/packages/platform/src/lib/store/StoreEvent.ts
@@ -15,7 +15,7 @@
       readonly entries: readonly StoreEntry[];
       readonly revision: StoreRevision;
     }
-  /** The store accepted the watch at this revision. */
+  /** The store accepted the watch at this revision, or confirmed that all earlier events have been reported. */
   | { readonly kind: 'connected'; readonly revision: StoreRevision }
   /** The watch lost its connection; events are delayed until the next `connected`. */
   | { readonly kind: 'disconnected' };
--- a/packages/sidecar/src/lib/directory/createMemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/createMemberDirectory.ts
@@ -4,6 +4,7 @@
 import type { EventLogger } from '@buckthornslip/telemetry';
 import { filter, firstValueFrom, timeout, catchError, of } from 'rxjs';
 
+import type { PolicyAnnouncement } from '../policy/createPolicyFetcher';
 import type { Changes } from './createChangeBatch';
 import { createChangeBatch } from './createChangeBatch';
 import { createMemberTable } from './createMemberTable';
@@ -34,7 +35,7 @@
   /** @returns Revision of this node's current policy; 0 if there is none. */
   readonly policyRevision: () => number;
   /** Called when another node has a newer policy. */
-  readonly onNewerPolicy: (peerAddress: string, message: DirectoryMessage) => void;
+  readonly onNewerPolicy: (announcement: PolicyAnnouncement) => void;
   /** Called when this node starts or stops following the policy in the store, for itself and its zone. */
   readonly onFollowPolicy: (follows: boolean) => void;
   /** Called when another node still has a record of an earlier process of this node with a departed upstream. */
@@ -196,7 +197,7 @@
   const handleNewerPolicy = async (from: Member, revision: number): Promise<void> => {
     if (!isInZone(from)) await clock.sleep(directoryTimes.remotePolicyDelay);
     if (!isClosed && revision > policyRevision()) {
-      onNewerPolicy(from.peerAddress, message([], true));
+      onNewerPolicy({ address: from.peerAddress, revision });
     }
   };
 
--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -88,6 +88,7 @@
       current: () => (clock.monotonicMilliseconds() < policyTime ? undefined : policy),
       whenAvailable: () => clock.sleep(policyTime - clock.monotonicMilliseconds()),
       currentBytes: () => undefined,
+      ageMilliseconds: () => 0,
       offer: () => undefined,
       setFollowing: () => undefined,
       close: () => undefined,
--- a/packages/sidecar/src/lib/entry/createEntry.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.ts
@@ -229,6 +229,7 @@
         reason: accepted.error.reason,
         status,
         policyRevision: policy.current()?.revision,
+        policyAgeMilliseconds: Math.round(policy.ageMilliseconds()),
       });
       return;
     }
--- a/packages/sidecar/src/lib/policy/PolicyWatcher.ts
+++ b/packages/sidecar/src/lib/policy/PolicyWatcher.ts
@@ -12,6 +12,8 @@
   readonly whenAvailable: () => Promise<void>;
   /** @returns The encoded current policy, to be sent to peers. */
   readonly currentBytes: () => Uint8Array | undefined;
+  /** @returns Time since the store last confirmed that no newer policy exists, in milliseconds; Infinity if it never did. */
+  readonly ageMilliseconds: () => number;
   /** Applies a policy received from another node if it is newer. */
   readonly offer: (bytes: Uint8Array, source: string) => void;
   /** Starts or stops following the policy in the store. */
--- a/packages/sidecar/src/lib/policy/createPolicyWatcher.ts
+++ b/packages/sidecar/src/lib/policy/createPolicyWatcher.ts
@@ -68,12 +68,19 @@
     if (entry.key === key) apply(entry.value, 'store');
   };
 
+  let confirmedMilliseconds = -Infinity;
+  const ageMilliseconds = (): number => clock.monotonicMilliseconds() - confirmedMilliseconds;
+  const confirm = (): void => {
+    confirmedMilliseconds = clock.monotonicMilliseconds();
+  };
+
   let isReachable = true;
   const setReachable = (reachable: boolean): void => {
     if (reachable === isReachable) return;
     isReachable = reachable;
     logger.log(reachable ? 'policySourceRegained' : 'policySourceLost', {
       revision: policy?.revision,
+      ageMilliseconds: Math.round(ageMilliseconds()),
     });
   };
 
@@ -81,9 +88,15 @@
     readonly [Kind in StoreEvent['kind']]: (event: StoreEvent & { readonly kind: Kind }) => void;
   } = {
     put: ({ entry }) => applyEntry(entry),
-    relisted: ({ entries }) => entries.forEach(applyEntry),
+    relisted: ({ entries }) => {
+      confirm();
+      entries.forEach(applyEntry);
+    },
     removed: () => undefined,
-    connected: () => setReachable(true),
+    connected: () => {
+      setReachable(true);
+      confirm();
+    },
     disconnected: () => setReachable(false),
   };
 
@@ -92,6 +105,7 @@
       const read = await store.get(key);
       if (!isCurrent()) return;
       if (read.ok) {
+        confirm();
         if (read.value) apply(read.value.value, 'store');
         const revision = read.value?.revision ?? 0;
         subscription = store.watch(key, revision + 1).subscribe((event) => {
@@ -107,6 +121,7 @@
     current: () => policy,
     whenAvailable: () => available,
     currentBytes: () => policyBytes,
+    ageMilliseconds,
     offer: apply,
     setFollowing: (follows) => {
       subscription?.unsubscribe();
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -10,7 +10,6 @@
 import { createTicker } from '../channel/createTicker';
 import type { ExchangeFields } from '../channel/PeerLink';
 import { createMemberDirectory } from '../directory/createMemberDirectory';
-import type { DirectoryMessage } from '../directory/DirectoryMessage';
 import type { DirectoryPeers } from '../directory/DirectoryPeers';
 import { memoizeByRevision } from '../directory/memoizeByRevision';
 import { createEntry } from '../entry/createEntry';
@@ -18,6 +17,7 @@
 import { createConnectionPools } from '../http/createConnectionPools';
 import { createPeerLinks } from '../peers/createPeerLinks';
 import { fromExchangeFields, toExchangeFields } from '../peers/exchangeCodec';
+import { createPolicyFetcher } from '../policy/createPolicyFetcher';
 import { createPolicyWatcher } from '../policy/createPolicyWatcher';
 import type { RouteTable } from '../policy/createRouteTable';
 import { createRouteTable } from '../policy/createRouteTable';
@@ -32,6 +32,7 @@
 import type { UpstreamInstance } from '../serving/UpstreamInstance';
 import type { UpstreamView } from '../serving/UpstreamRegistry';
 import { createCallerListener } from './createCallerListener';
+import { createLagMonitor } from './createLagMonitor';
 import { createSidecarMetrics } from './createSidecarMetrics';
 import { drainServer, ACCEPTING_WHILE_STOPPING_MILLISECONDS } from './drainServer';
 import { linkBudget } from './linkBudget';
@@ -102,6 +103,7 @@
   const admission = createAdmissionController({ clock, adaptsToLatency: false });
   const ticker = createTicker(clock, channelTimes.checkInterval);
   const links = createPeerLinks({ clock, logger, ticker, self: { host, incarnation } });
+  const lag = createLagMonitor(clock, logger);
   let isStopping = false;
   let isDraining = false;
   let refusesCallers = false;
@@ -128,16 +130,13 @@
     const answer = await links.get(address).exchange(fields);
     return answer && fromExchangeFields(answer);
   };
-  let isFetchingPolicy = false;
-  /** Several relays announce the same policy; it is fetched from one of them at a time. */
-  const fetchPolicy = async (address: string, message: DirectoryMessage): Promise<void> => {
-    if (isFetchingPolicy) return;
-    isFetchingPolicy = true;
-    const fields = toExchangeFields(message, undefined, true);
-    const answer = await links.get(address).exchange(fields);
-    isFetchingPolicy = false;
-    if (answer && answer.policy.length > 0) policy.offer(answer.policy, address);
-  };
+  const policyFetcher = createPolicyFetcher({
+    clock,
+    logger,
+    currentRevision: policyRevision,
+    request: (address) => requestPolicy(address),
+    offer: policy.offer,
+  });
   const directory = createMemberDirectory({
     self: initialMember(options),
     clock,
@@ -147,13 +146,16 @@
     isFirstStart: options.isFirstStart,
     policyRevision,
     peers: { exchange: exchangeWithPeer },
-    onNewerPolicy: (address, message) => {
-      void fetchPolicy(address, message);
-    },
+    onNewerPolicy: policyFetcher.announce,
     onFollowPolicy: policy.setFollowing,
     onEarlierDeparture: (departure) => restoreDeparture(departure),
   });
 
+  async function requestPolicy(address: string): Promise<Uint8Array | undefined> {
+    const fields = toExchangeFields(directory.currentMessage(), undefined, true);
+    return (await links.get(address).exchange(fields))?.policy;
+  }
+
   const onUpstreamChange = ({ instance, state }: UpstreamView): void => {
     const { coldStartMilliseconds, slots } = instance;
     const memberState = state === 'lost' ? 'starting' : state;
@@ -270,6 +272,11 @@
     addGauge('queued', 'Calls waiting for the upstream', () => load().queued);
     addGauge('limit', 'Calls that may run at once', () => load().limit);
     addGauge('policy_revision', 'Revision of the policy in force', policyRevision);
+    addGauge(
+      'event_loop_delay',
+      'Last measured delay of timers, in milliseconds',
+      lag.delayMilliseconds,
+    );
     addGauge('members', 'Other nodes that answer', () => directory.livePeers().length);
     addGauge('in_progress', 'Requests without a complete answer', entry.inProgress);
   };
@@ -290,6 +297,7 @@
   };
 
   const closeAll = (): void => {
+    lag.stop();
     peerListener.close();
     directory.close();
     policy.close();
--- a/packages/sidecar/src/lib/testing/createDirectoryFleet.ts
+++ b/packages/sidecar/src/lib/testing/createDirectoryFleet.ts
@@ -15,6 +15,7 @@
 import { createMemberDirectory } from '../directory/createMemberDirectory';
 import type { DirectoryMessage } from '../directory/DirectoryMessage';
 import type { MemberDirectory } from '../directory/MemberDirectory';
+import type { PolicyAnnouncement } from '../policy/createPolicyFetcher';
 
 export const TEST_SERVICE = 'service' as ServiceId;
 
@@ -114,7 +115,7 @@
 
   const start: DirectoryFleet['start'] = (host, incarnation, zone = DEFAULT_ZONE) => {
     lastIncarnation += 1;
-    const fetchPolicy = (address: string): void => {
+    const fetchPolicy = ({ address }: PolicyAnnouncement): void => {
       const revision = policyRevisions.get(hostOf(address)) ?? 0;
       if (revision <= (policyRevisions.get(host) ?? 0)) return;
       policyRevisions.set(host, revision);
--- a/packages/telemetry/src/lib/events/EventDefinition.ts
+++ b/packages/telemetry/src/lib/events/EventDefinition.ts
@@ -11,4 +11,6 @@
   readonly message: string;
   /** What an operator should do, if action is needed. */
   readonly action?: string;
+  /** Whether the event occurs once or more for each call, so that its volume grows with the load. */
+  readonly perCall?: true;
 }
--- a/packages/telemetry/src/lib/events/sidecarEvents.ts
+++ b/packages/telemetry/src/lib/events/sidecarEvents.ts
@@ -6,36 +6,61 @@
  * @public
  */
 export const sidecarEvents = {
-  callAnswered: { number: 7000, level: 'info', message: 'call answered by an upstream' },
-  callFailedFinally: { number: 7001, level: 'info', message: 'call refused or failed' },
-  callRejected: { number: 7002, level: 'info', message: 'request not accepted' },
+  callAnswered: {
+    number: 7000,
+    level: 'info',
+    message: 'call answered by an upstream',
+    perCall: true,
+  },
+  callFailedFinally: {
+    number: 7001,
+    level: 'info',
+    message: 'call refused or failed',
+    perCall: true,
+  },
+  callRejected: { number: 7002, level: 'info', message: 'request not accepted', perCall: true },
   attemptEnded: {
     number: 7003,
     level: 'info',
     message: 'attempt ended without a successful response',
+    perCall: true,
+  },
+  attemptFailed: {
+    number: 7004,
+    level: 'info',
+    message: 'upstream sent no usable response',
+    perCall: true,
+  },
+  admissionRefused: {
+    number: 7005,
+    level: 'info',
+    message: 'call not admitted to the upstream',
+    perCall: true,
   },
-  attemptFailed: { number: 7004, level: 'info', message: 'upstream sent no usable response' },
-  admissionRefused: { number: 7005, level: 'info', message: 'call not admitted to the upstream' },
   repeatRefused: {
     number: 7009,
     level: 'info',
     message: 'repeated call not sent to the upstream, because it has received too many',
+    perCall: true,
   },
   answerUnsigned: {
     number: 7006,
     level: 'warn',
     message: 'upstream sent a successful response without its signature; the response was withheld',
+    perCall: true,
   },
   answerContradictory: {
     number: 7008,
     level: 'warn',
     message:
       'upstream sent a status that means "not run" without stating that it has not run; the response was withheld',
+    perCall: true,
   },
   bodyTooLong: {
     number: 7007,
     level: 'info',
     message: 'body exceeded the limit; the connection was closed',
+    perCall: true,
   },
   upstreamStateChanged: { number: 7100, level: 'info', message: 'upstream changed its state' },
   announcementRejected: { number: 7101, level: 'warn', message: 'malformed announcement ignored' },
@@ -76,6 +101,16 @@
     level: 'info',
     message: 'node started or stopped following the policy in the store for itself and its zone',
   },
+  policyAnnounced: {
+    number: 7307,
+    level: 'info',
+    message: 'another node has a newer policy',
+  },
+  policyFetchFailed: {
+    number: 7308,
+    level: 'warn',
+    message: 'newer policy could not be fetched from another node',
+  },
   storeLost: {
     number: 7304,
     level: 'warn',
@@ -108,4 +143,9 @@
     action: 'Check the settings file.',
   },
   linesDropped: { number: 7502, level: 'warn', message: 'log lines dropped to limit their volume' },
+  eventLoopDelayed: {
+    number: 7503,
+    level: 'warn',
+    message: 'timers ran late, because the process had too much work or too little processor time',
+  },
 } as const satisfies Record<string, EventDefinition>;
--- a/packages/telemetry/src/lib/logging/createBoundedWriter.ts
+++ b/packages/telemetry/src/lib/logging/createBoundedWriter.ts
@@ -6,8 +6,13 @@
  * @public
  */
 export interface BoundedWriter {
-  /** Writes a line, given without its line break. */
-  readonly write: (line: string) => void;
+  /**
+   * Writes a line, given without its line break.
+   *
+   * @param isPerCall - Whether the line is about a call. Such lines have a limit of their own, so that they can't displace
+   *   the others under load.
+   */
+  readonly write: (line: string, isPerCall: boolean) => void;
   /** Sets a callback that gets the number of dropped lines, once lines are written again. */
   readonly onDropped: (report: (count: number) => void) => void;
   /** Writes the pending lines now. */
@@ -17,14 +22,36 @@
 /** Time for which lines are batched before they are written, in milliseconds. */
 const BATCH_MILLISECONDS = 500;
 
-/** Sustained rate limit in lines per second; a line costs about 15 microseconds. */
-const LINES_PER_SECOND = 400;
+/** Limit of one kind of line. */
+interface LineLimit {
+  /** Sustained rate, in lines per second. */
+  readonly linesPerSecond: number;
+  /** Lines that may be written at once after a period with few lines. */
+  readonly burst: number;
+}
+
+/** A line costs about 15 microseconds. */
+const CALL_LINES: LineLimit = { linesPerSecond: 400, burst: 2_000 };
 
-/** Burst limit: lines that may be written at once after a period with few lines. */
-const BURST_LINES = 2_000;
+const OTHER_LINES: LineLimit = { linesPerSecond: 100, burst: 1_000 };
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
+/** @returns A function that takes one line from the budget, and returns whether there was one. */
+function createLineBudget(clock: Clock, { burst, linesPerSecond }: LineLimit): () => boolean {
+  let lines = burst;
+  let updatedMilliseconds = clock.monotonicMilliseconds();
+  return () => {
+    const now = clock.monotonicMilliseconds();
+    const elapsedSeconds = (now - updatedMilliseconds) / MILLISECONDS_PER_SECOND;
+    lines = Math.min(burst, lines + elapsedSeconds * linesPerSecond);
+    updatedMilliseconds = now;
+    if (lines < 1) return false;
+    lines -= 1;
+    return true;
+  };
+}
+
 /**
  * Creates a bounded writer.
  *
@@ -35,19 +62,12 @@
  */
 export function createBoundedWriter(clock: Clock, output: (text: string) => void): BoundedWriter {
   let pending: string[] = [];
-  let tokens = BURST_LINES;
-  let updatedMilliseconds = clock.monotonicMilliseconds();
+  const callBudget = createLineBudget(clock, CALL_LINES);
+  const otherBudget = createLineBudget(clock, OTHER_LINES);
   let dropped = 0;
   let isScheduled = false;
   let reportDropped: ((count: number) => void) | undefined;
 
-  const refill = (): void => {
-    const now = clock.monotonicMilliseconds();
-    const refilled = ((now - updatedMilliseconds) / MILLISECONDS_PER_SECOND) * LINES_PER_SECOND;
-    tokens = Math.min(BURST_LINES, tokens + refilled);
-    updatedMilliseconds = now;
-  };
-
   const flush = (): void => {
     isScheduled = false;
     if (pending.length === 0) return;
@@ -57,7 +77,6 @@
   };
 
   const enqueue = (line: string): void => {
-    tokens -= 1;
     pending.push(line);
     if (isScheduled) return;
     isScheduled = true;
@@ -65,9 +84,9 @@
   };
 
   return {
-    write: (line) => {
-      refill();
-      if (tokens < 1) {
+    write: (line, isPerCall) => {
+      const spend = isPerCall ? callBudget : otherBudget;
+      if (!spend()) {
         dropped += 1;
         return;
       }
--- a/packages/telemetry/src/lib/logging/createEventLogger.ts
+++ b/packages/telemetry/src/lib/logging/createEventLogger.ts
@@ -2,6 +2,7 @@
 
 import type { EventDefinition } from '../events/EventDefinition';
 import { eventCatalogue } from '../events/eventCatalogue';
+import type { EventName } from '../events/EventName';
 import type { EventLogger } from './EventLogger';
 import type { LogLevel } from './LogLevel';
 
@@ -11,14 +12,15 @@
 /**
  * Creates a logger that writes each event as a JSON object on its own line.
  *
- * @param options - Name of the process, minimum level, and the function that writes a line (default: stderr).
+ * @param options - Name of the process, minimum level, and the function that writes a line (default: stderr). The function
+ *   is told whether the line is one of those that each call causes.
  * @returns The logger.
  * @public
  */
 export function createEventLogger(options: {
   readonly name: string;
   readonly level: LogLevel;
-  readonly write?: (line: string) => void;
+  readonly write?: (line: string, isPerCall: boolean) => void;
 }): EventLogger {
   const write = options.write ?? ((line: string) => process.stderr.write(`${line}\n`));
   const minLevel = tslogLevels[options.level];
@@ -34,7 +36,11 @@
       addMeta: (record) => record as never,
     },
   });
-  logger.attachTransport((record) => write(JSON.stringify(record)));
+  logger.attachTransport((record) => {
+    const { event } = record as unknown as { readonly event: EventName };
+    const { perCall }: EventDefinition = eventCatalogue[event];
+    write(JSON.stringify(record), perCall === true);
+  });
   return {
     log: (event, fields) => {
       const definition: EventDefinition = eventCatalogue[event];
