--- a/packages/sidecar/src/lib/http/ConnectionPool.ts
+++ b/packages/sidecar/src/lib/http/ConnectionPool.ts
@@ -11,5 +11,7 @@
   readonly port: number;
   /** Connect timeout, in milliseconds. */
   readonly connectMilliseconds: number;
+  /** Closes the idle connections, because what made another one stop responding may have affected them as well. */
+  readonly closeIdle: () => void;
   readonly close: () => void;
 }
--- a/packages/sidecar/src/lib/http/createConnectionPool.ts
+++ b/packages/sidecar/src/lib/http/createConnectionPool.ts
@@ -69,6 +69,11 @@
     agent,
     ...splitAddress(address),
     connectMilliseconds,
+    closeIdle: () => {
+      Object.values(agent.freeSockets).forEach((sockets) => {
+        sockets?.forEach((socket) => socket.destroy());
+      });
+    },
     close: () => agent.destroy(),
   };
 }
