sidecar: a policy is fetched from another announcer, or the store, if the first is silent

What callers could see: a node that handles requests as an older policy says, for up to 2.9 s after a newer one was accepted.

Cause: several relays announce a policy within milliseconds. While the node fetched it from the first, it dropped the announcements of the others. If the first had lost power or was frozen, the fetch failed after 0.9 s and the next chance was the next exchange, up to 1.9 s later.

--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -91,6 +91,7 @@
       ageMilliseconds: () => 0,
       offer: () => undefined,
       setFollowing: () => undefined,
+      refresh: () => undefined,
       close: () => undefined,
     },
     routes: () => createRouteTable(policy, random),
--- a/packages/sidecar/src/lib/policy/PolicyWatcher.ts
+++ b/packages/sidecar/src/lib/policy/PolicyWatcher.ts
@@ -16,6 +16,8 @@
   readonly ageMilliseconds: () => number;
   /** Applies a policy received from another node if it is newer. */
   readonly offer: (bytes: Uint8Array, source: string) => void;
+  /** Reads the policy from the store once, unless it is followed. */
+  readonly refresh: () => void;
   /** Starts or stops following the policy in the store. */
   readonly setFollowing: (follows: boolean) => void;
   readonly close: () => void;
--- a/packages/sidecar/src/lib/policy/createPolicyWatcher.ts
+++ b/packages/sidecar/src/lib/policy/createPolicyWatcher.ts
@@ -1,6 +1,6 @@
 import type { Clock, Result } from '@buckthornslip/common';
 import type { CallPolicy } from '@buckthornslip/config';
-import type { Store, StoreEntry, StoreEvent } from '@buckthornslip/platform';
+import type { Store, StoreEntry, StoreError, StoreEvent } from '@buckthornslip/platform';
 import type { EventLogger } from '@buckthornslip/telemetry';
 import type { Subscription } from 'rxjs';
 
@@ -40,6 +40,7 @@
   let policy: CallPolicy | undefined;
   let policyBytes: Uint8Array | undefined;
   let subscription: Subscription | undefined;
+  let isFollowing = false;
   let isClosed = false;
   let resolveAvailable = (): void => undefined;
   const available = new Promise<void>((resolve) => {
@@ -100,14 +101,20 @@
     disconnected: () => setReachable(false),
   };
 
+  const read = async (): Promise<Result<StoreEntry | undefined, StoreError>> => {
+    const result = await store.get(key);
+    if (isClosed || !result.ok) return result;
+    confirm();
+    if (result.value) applyEntry(result.value);
+    return result;
+  };
+
   const readAndWatch = async (isCurrent: () => boolean): Promise<void> => {
     while (isCurrent()) {
-      const read = await store.get(key);
+      const result = await read();
       if (!isCurrent()) return;
-      if (read.ok) {
-        confirm();
-        if (read.value) apply(read.value.value, 'store');
-        const revision = read.value?.revision ?? 0;
+      if (result.ok) {
+        const revision = result.value?.revision ?? 0;
         subscription = store.watch(key, revision + 1).subscribe((event) => {
           handlers[event.kind](event as never);
         });
@@ -123,7 +130,11 @@
     currentBytes: () => policyBytes,
     ageMilliseconds,
     offer: apply,
+    refresh: () => {
+      if (!isFollowing) void read();
+    },
     setFollowing: (follows) => {
+      isFollowing = follows;
       subscription?.unsubscribe();
       subscription = undefined;
       run += 1;
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -136,6 +136,7 @@
     currentRevision: policyRevision,
     request: (address) => requestPolicy(address),
     offer: policy.offer,
+    readStore: policy.refresh,
   });
   const directory = createMemberDirectory({
     self: initialMember(options),
