sidecar: a node whose relays have all failed follows the store within the limit for policies

What callers could see: 404 or 401 as an older policy says, on an undisturbed node whose zone's relays have lost power, up to 3.5 s after the acceptance of a newer one; the limit is 2.5 s.

Cause: the node waited for 3 s without contact, checked each 0.5 s, and contacted a relay each 1.1 to 1.9 s.

Change: the limit is in the settings (policy.apply_time). A node contacts a relay after a quarter of it without a message, all relays after a tenth more, and follows the store after a fifth more: 1.4 s of 2.5 s.

The fleet of the tests uses real policy watchers and fetchers now, and messages to an unreachable host fail after their timeout instead of at once. The bound of 'other nodes follow the policy when the relays of a zone fail' is 2.5 s instead of 4 s.

--- a/packages/sidecar/src/lib/directory/createMemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/createMemberDirectory.ts
@@ -2,7 +2,7 @@
 import type { Member, MemberDeparture } from '@buckthornslip/membership';
 import type { Store, StoreRevision } from '@buckthornslip/platform';
 import type { EventLogger } from '@buckthornslip/telemetry';
-import { filter, firstValueFrom, timeout, catchError, of } from 'rxjs';
+import { filter, first, firstValueFrom, merge, timeout, catchError, of } from 'rxjs';
 
 import type { PolicyAnnouncement } from '../policy/createPolicyFetcher';
 import type { Changes } from './createChangeBatch';
@@ -32,6 +32,8 @@
   readonly logger: EventLogger;
   /** Whether the whole fleet starts for the first time, so that there is no traffic yet. */
   readonly isFirstStart: boolean;
+  /** Time within which a policy that the store has accepted must be in force, in milliseconds. */
+  readonly policyApplyMilliseconds: number;
   /** @returns Revision of this node's current policy; 0 if there is none. */
   readonly policyRevision: () => number;
   /** Called when another node has a newer policy. */
@@ -48,6 +50,10 @@
 /** Removed nodes that are remembered, so that older tables of other nodes do not restore them. */
 const REMEMBERED_REMOVALS = 512;
 
+function pick(members: readonly Member[], index: number): Member | undefined {
+  return members[index % Math.max(1, members.length)];
+}
+
 /**
  * Creates the member directory. Each node writes one record under a lease and reads the records of its zone. As each node
  * writes before it reads, at least one of any two nodes of a zone sees the other and greets it. A few relays in each zone
@@ -73,6 +79,7 @@
   let isClosed = false;
   let wasRegistered = false;
   let rounds = 0;
+  let contacts = 0;
   table.merge(self);
 
   const isSelf = ({ host }: Member): boolean => host === self.host;
@@ -98,6 +105,18 @@
     clock,
     logger,
     isRelay,
+    relays: {
+      contactOne: async () => {
+        contacts += 1;
+        const relay = pick(otherRelays(), contacts);
+        return relay ? sendUpdate(relay, []) : false;
+      },
+      contactAll: () => {
+        const answers = merge(...otherRelays().map((relay) => sendUpdate(relay, [])));
+        return firstValueFrom(answers.pipe(first(Boolean, false)));
+      },
+    },
+    applyMilliseconds: options.policyApplyMilliseconds,
     followsAtStart: !options.isFirstStart,
     onFollowPolicy: options.onFollowPolicy,
   });
@@ -321,12 +340,9 @@
       ),
     );
 
-  const rotate = (members: readonly Member[]): Member | undefined =>
-    members[rounds % Math.max(1, members.length)];
-
   /** Partners of one round of exchanges. */
   const pickPartners = (): readonly (Member | undefined)[] => {
-    const own = isRelay() ? pickRandom(zonePeers()) : rotate(otherRelays());
+    const own = isRelay() ? pickRandom(zonePeers()) : pick(otherRelays(), rounds);
     const remote = isRelay() && rounds % 2 === 0 ? pickRandom(remoteRelays()) : undefined;
     const departed = rounds % 2 === 1 ? pickDeparted() : undefined;
     return [own ?? pickRandom(livePeers()), remote, departed];
--- a/packages/sidecar/src/lib/directory/directoryTimes.ts
+++ b/packages/sidecar/src/lib/directory/directoryTimes.ts
@@ -12,8 +12,6 @@
   changeDelay: 50,
   /** Time after the start at which a node decides whether it is a relay; until then it may not know its zone. */
   firstRoleDelay: 1_000,
-  /** Time without an answer of a relay of its zone after which a node follows the store itself. */
-  relayTimeout: 3_000,
   /** Delay before a policy is fetched from another zone, because the relays usually read it from the store. */
   remotePolicyDelay: 600,
   /** Time without contact after which a node that has no record in the store is removed. */
--- a/packages/sidecar/src/lib/directory/largeFleet.test.ts
+++ b/packages/sidecar/src/lib/directory/largeFleet.test.ts
@@ -3,7 +3,7 @@
 import t from 'tap';
 
 import type { DirectoryFleet } from '../testing/createDirectoryFleet';
-import { createDirectoryFleet } from '../testing/createDirectoryFleet';
+import { createDirectoryFleet, POLICY_APPLY_MILLISECONDS } from '../testing/createDirectoryFleet';
 import { directoryTimes } from './directoryTimes';
 
 const ZONES = 8;
@@ -122,7 +122,7 @@
   const relays = [...fleet.followers].filter((host) => zoneOf(host) === zone);
   test.equal(relays.length, RELAYS_PER_ZONE);
   relays.forEach((host) => fleet.end(host));
-  await fleet.clock.advance(directoryTimes.relayTimeout + 1_000);
+  await fleet.clock.advance(POLICY_APPLY_MILLISECONDS);
   const others = [...fleet.followers].filter((host) => zoneOf(host) === zone);
   test.ok(others.length >= RELAYS_PER_ZONE, `${others.length} nodes follow`);
 });
@@ -133,10 +133,9 @@
   await startAll(fleet, 7);
   await fleet.clock.advance(5_000);
   const [relay] = [...fleet.followers] as [string];
-  fleet.policyRevisions.set(relay, 8);
-  fleet.get(relay).announcePolicy();
+  fleet.offerPolicy(relay, 8);
   await fleet.clock.advance(2_000);
-  test.same([...new Set(hosts.map((host) => fleet.policyRevisions.get(host) ?? 0))], [8]);
+  test.same([...new Set(hosts.map((host) => fleet.policyRevision(host)))], [8]);
 });
 
 // Guards against records of removed machines that nodes pass to each other forever.
--- a/packages/sidecar/src/lib/process/SidecarOptions.ts
+++ b/packages/sidecar/src/lib/process/SidecarOptions.ts
@@ -43,6 +43,8 @@
   readonly stopMilliseconds: number;
   /** Key of the policy in the store. */
   readonly policyKey: string;
+  /** Time within which a policy that the store has accepted must be in force, in milliseconds. */
+  readonly policyApplyMilliseconds: number;
   readonly decodePolicy: (bytes: Uint8Array) => Result<CallPolicy, PolicyError>;
   readonly protocol: CallProtocol;
   readonly store: Store;
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -145,6 +145,7 @@
     store,
     logger,
     isFirstStart: options.isFirstStart,
+    policyApplyMilliseconds: options.policyApplyMilliseconds,
     policyRevision,
     peers: { exchange: exchangeWithPeer },
     onNewerPolicy: policyFetcher.announce,
--- a/packages/sidecar/src/lib/testing/createDirectoryFleet.ts
+++ b/packages/sidecar/src/lib/testing/createDirectoryFleet.ts
@@ -5,17 +5,23 @@
   ServiceId,
   ZoneId,
   FakeClock,
+  Result,
 } from '@buckthornslip/common';
-import { createFakeClock, createSeededRandom } from '@buckthornslip/common';
+import { createFakeClock, createSeededRandom, success } from '@buckthornslip/common';
+import type { CallPolicy } from '@buckthornslip/config';
 import type { Member, MemberDeparture } from '@buckthornslip/membership';
 import type { MemoryStore } from '@buckthornslip/platform';
 import { createMemoryStore } from '@buckthornslip/platform';
 import { createSilentLogger } from '@buckthornslip/telemetry';
 
+import { channelTimes } from '../channel/channelTimes';
 import { createMemberDirectory } from '../directory/createMemberDirectory';
 import type { DirectoryMessage } from '../directory/DirectoryMessage';
 import type { MemberDirectory } from '../directory/MemberDirectory';
-import type { PolicyAnnouncement } from '../policy/createPolicyFetcher';
+import { createPolicyFetcher } from '../policy/createPolicyFetcher';
+import type { PolicyError } from '../policy/createPolicyWatcher';
+import { createPolicyWatcher } from '../policy/createPolicyWatcher';
+import type { PolicyWatcher } from '../policy/PolicyWatcher';
 
 export const TEST_SERVICE = 'service' as ServiceId;
 
@@ -33,14 +39,18 @@
 export interface DirectoryFleet {
   readonly clock: FakeClock;
   readonly store: MemoryStore;
-  /** Hosts that receive no messages. */
+  /** Hosts that are cut off from the other hosts; messages from and to them fail after a timeout. */
   readonly unreachable: Set<string>;
   /** Messages since they were last cleared. */
   readonly messages: SentMessage[];
   /** Hosts that follow the policy in the store. */
   readonly followers: Set<string>;
-  /** Policy revision of each host; 0 if it is not set. */
-  readonly policyRevisions: Map<string, number>;
+  /** Writes a policy to the store, from which the hosts that follow it read it. */
+  readonly publish: (revision: number) => Promise<void>;
+  /** Gives a policy to a single host, as if it had read it from the store. */
+  readonly offerPolicy: (host: string, revision: number) => void;
+  /** @returns Revision of a host's policy; 0 if it has none. */
+  readonly policyRevision: (host: string) => number;
   /** Departures of which restarted hosts have been told. */
   readonly earlierDepartures: Map<string, MemberDeparture>;
   readonly start: (host: string, incarnation?: number, zone?: ZoneId) => MemberDirectory;
@@ -51,6 +61,24 @@
   readonly get: (host: string) => MemberDirectory;
 }
 
+/** Time within which a policy must be in force, in milliseconds. */
+export const POLICY_APPLY_MILLISECONDS = 2_500;
+
+/** Store key of the policy. */
+const POLICY_KEY = 'policy';
+
+/** Decodes a policy that consists of its revision only. */
+function decodeTestPolicy(bytes: Uint8Array): Result<CallPolicy, PolicyError> {
+  return success({
+    revision: Number(Buffer.from(bytes).toString()),
+    routes: [],
+    services: new Map(),
+    accounts: new Map(),
+    accountOfKey: new Map(),
+    requestLimits: { headBytes: 0, bodyBytes: 0, headMilliseconds: 0, idleMilliseconds: 0 },
+  });
+}
+
 const addressOf = (host: string): string => `${host}:7000`;
 
 const hostOf = (address: string): string => address.slice(0, address.indexOf(':'));
@@ -85,18 +113,24 @@
   const directories = new Map<string, MemberDirectory>();
   const unreachable = new Set<string>();
   const followers = new Set<string>();
-  const policyRevisions = new Map<string, number>();
+  const policies = new Map<string, PolicyWatcher>();
   const earlierDepartures = new Map<string, MemberDeparture>();
   const messages: SentMessage[] = [];
   const hasStarted = new Set<string>();
   let lastIncarnation = 0;
 
-  const deliver = (
+  const policyRevision = (host: string): number => policies.get(host)?.current()?.revision ?? 0;
+
+  const deliver = async (
     from: ZoneId,
     host: string,
     sent: DirectoryMessage,
-  ): DirectoryMessage | undefined => {
-    const receiver = unreachable.has(host) ? undefined : directories.get(host);
+  ): Promise<DirectoryMessage | undefined> => {
+    if (unreachable.has(host) || unreachable.has(sent.from.host)) {
+      await clock.sleep(channelTimes.exchangeTimeout);
+      return undefined;
+    }
+    const receiver = directories.get(host);
     const answer = receiver?.receive(sent);
     const toZone = receiver?.self().zone;
     if (answer && toZone !== undefined) {
@@ -110,28 +144,47 @@
     directories.get(host)?.close();
     directories.delete(host);
     followers.delete(host);
-    policyRevisions.delete(host);
+    policies.get(host)?.close();
+    policies.delete(host);
   };
 
   const start: DirectoryFleet['start'] = (host, incarnation, zone = DEFAULT_ZONE) => {
     lastIncarnation += 1;
-    const fetchPolicy = ({ address }: PolicyAnnouncement): void => {
-      const revision = policyRevisions.get(hostOf(address)) ?? 0;
-      if (revision <= (policyRevisions.get(host) ?? 0)) return;
-      policyRevisions.set(host, revision);
-      directories.get(host)?.announcePolicy();
-    };
+    const logger = createSilentLogger();
+    const policy = createPolicyWatcher({
+      clock,
+      store,
+      key: POLICY_KEY,
+      decode: decodeTestPolicy,
+      logger,
+      onChange: () => directories.get(host)?.announcePolicy(),
+    });
+    const fetcher = createPolicyFetcher({
+      clock,
+      logger,
+      currentRevision: () => policyRevision(host),
+      request: async (address) => {
+        if (!unreachable.has(hostOf(address))) return policies.get(hostOf(address))?.currentBytes();
+        await clock.sleep(channelTimes.exchangeTimeout);
+        return undefined;
+      },
+      offer: policy.offer,
+      readStore: policy.refresh,
+    });
+    policies.set(host, policy);
     const directory = createMemberDirectory({
       self: createMember(host, incarnation ?? lastIncarnation, zone),
       clock,
       random,
       store,
-      peers: { exchange: async (address, sent) => deliver(zone, hostOf(address), sent) },
-      logger: createSilentLogger(),
+      peers: { exchange: (address, sent) => deliver(zone, hostOf(address), sent) },
+      logger,
       isFirstStart: !hasStarted.has(host),
-      policyRevision: () => policyRevisions.get(host) ?? 0,
-      onNewerPolicy: fetchPolicy,
+      policyApplyMilliseconds: POLICY_APPLY_MILLISECONDS,
+      policyRevision: () => policyRevision(host),
+      onNewerPolicy: fetcher.announce,
       onFollowPolicy: (follows) => {
+        policy.setFollowing(follows);
         if (follows) followers.add(host);
         else followers.delete(host);
       },
@@ -157,7 +210,14 @@
     unreachable,
     messages,
     followers,
-    policyRevisions,
+    publish: async (revision) => {
+      const current = await store.get(POLICY_KEY);
+      const storeRevision = current.ok ? (current.value?.revision ?? 0) : 0;
+      await store.compareAndSwap(POLICY_KEY, storeRevision, Buffer.from(String(revision)));
+    },
+    offerPolicy: (host, revision) =>
+      policies.get(host)?.offer(Buffer.from(String(revision)), 'store'),
+    policyRevision,
     earlierDepartures,
     start,
     end,
