admission, sidecar: the node beside an upstream keeps the limit that the upstream states

Cause: nothing read the header.

Change: the adapter decodes it; the node beside the upstream, which starts all calls there, applies it as a token bucket in admission, so that urgent calls get the limit first and the others wait or are refused as not run. The load that the node reports shows the calls that such a rate keeps running, so that other nodes send their calls elsewhere. A response without the header, or another start of the upstream, ends the limit.

--- a/apps/standins/src/lib/node/createFakeAdmissionController.ts
+++ b/apps/standins/src/lib/node/createFakeAdmissionController.ts
@@ -49,6 +49,7 @@
     },
     // Always undefined, so that every call uses `admit`.
     tryAdmit: () => undefined,
+    setRateLimit: () => undefined,
     setCapacity: (announced) => {
       capacity = announced;
       startNext();
--- a/packages/admission/src/lib/controller/AdmissionController.ts
+++ b/packages/admission/src/lib/controller/AdmissionController.ts
@@ -37,6 +37,13 @@
   /** Applies the capacity announced by the upstream; the states `draining` and `left` refuse queued and new calls. */
   readonly setCapacity: (capacity: UpstreamCapacity) => void;
 
+  /**
+   * Limits the calls that start per second, because the upstream has stated how many it takes.
+   *
+   * @param perSecond - Calls per second; undefined for no limit.
+   */
+  readonly setRateLimit: (perSecond: number | undefined) => void;
+
   /** @returns Current load, as reported to callers with each answer. */
   readonly load: () => AdmissionLoad;
 }
--- a/packages/admission/src/lib/controller/AdmissionLoad.ts
+++ b/packages/admission/src/lib/controller/AdmissionLoad.ts
@@ -6,6 +6,7 @@
 export interface AdmissionLoad {
   readonly running: number;
   readonly queued: number;
+  /** Calls that may run at once; with a limit of calls per second, those that such a rate keeps running. */
   readonly limit: number;
   /**
    * Lowest priority rank that is refused before it queues; higher than every priority's rank when nothing is refused.
--- a/packages/admission/src/lib/controller/createAdmissionController.ts
+++ b/packages/admission/src/lib/controller/createAdmissionController.ts
@@ -3,6 +3,7 @@
 
 import { createPriorityCutoff } from '../cutoff/createPriorityCutoff';
 import { createAdaptiveLimit } from '../limit/createAdaptiveLimit';
+import { createStartRate } from '../limit/createStartRate';
 import { createExpiryTimer } from '../queue/createExpiryTimer';
 import { createPriorityQueue } from '../queue/createPriorityQueue';
 import { createStandingQueueTarget } from '../queue/createStandingQueueTarget';
@@ -27,6 +28,8 @@
  */
 const SAMPLING_SHARE = 0.1;
 
+const MILLISECONDS_PER_SECOND = 1_000;
+
 /** Maximum number of request classes with a service time estimate; routes come and go with policy revisions. */
 const MAXIMUM_REQUEST_CLASSES = 1_024;
 
@@ -58,9 +61,13 @@
   const serviceTimes = new Map<string, ServiceTimeEstimate>();
   const target = createStandingQueueTarget(clock);
   const slots = createSlots();
+  const startRate = createStartRate(clock);
+  /** Service time of all classes together. */
+  const meanServiceTime = createServiceTimeEstimate(clock);
   const queue = createPriorityQueue(() => options.queueCapacity ?? DEFAULT_QUEUE_CAPACITY);
   const waiting = new Set<QueuedCall>();
   let capacity = UNANNOUNCED;
+  let cancelRateTimer: (() => void) | undefined;
 
   /** Service times of request classes differ by an order of magnitude, so each class has its own estimate. */
   const serviceTimeOf = (requestClass = ''): ServiceTimeEstimate => {
@@ -96,21 +103,39 @@
         if (isReleased) return;
         isReleased = true;
         slots.end(call.isolated);
-        if (outcome === 'completed') call.serviceTime.add(now() - startedMilliseconds);
+        if (outcome === 'completed') {
+          call.serviceTime.add(now() - startedMilliseconds);
+          meanServiceTime.add(now() - startedMilliseconds);
+        }
         limit.observe({ startedMilliseconds, endedMilliseconds: now(), outcome });
         startQueuedCalls();
       },
     };
   };
 
+  /** Starts queued calls again when the limit of calls per second allows the next one. */
+  const scheduleNextStart = (): void => {
+    cancelRateTimer?.();
+    cancelRateTimer = clock.setTimer(startRate.delayMilliseconds(), startQueuedCalls);
+  };
+
+  const canStart = (isIsolated: boolean): boolean =>
+    slots.hasRoom(currentLimit(), isIsolated) && startRate.delayMilliseconds() === 0;
+
+  const start = (call: QueuedCall): AdmissionPermit => {
+    slots.start(call.isolated);
+    startRate.start();
+    return createPermit(call);
+  };
+
   function startQueuedCalls(): void {
     let call = queue.peek();
-    while (call && slots.hasRoom(currentLimit(), call.isolated)) {
+    while (call && canStart(call.isolated)) {
       queue.take();
-      slots.start(call.isolated);
-      settle(call, success(createPermit(call)));
+      settle(call, success(start(call)));
       call = queue.peek();
     }
+    if (call && slots.hasRoom(currentLimit(), call.isolated)) scheduleNextStart();
     if (!call && slots.running() < currentLimit()) cutoff.recordIdleSlot();
     if (call) limit.recordSaturation();
   }
@@ -152,7 +177,7 @@
       return { kind: 'deadline-unreachable' };
     const rank = priorityRank[request.priority];
     cutoff.recordArrival(rank);
-    const mustWait = queue.size() > 0 || slots.running() >= currentLimit();
+    const mustWait = queue.size() > 0 || !canStart(false);
     if (mustWait && rank >= cutoff.rank()) return { kind: 'priority-cutoff' };
     return undefined;
   };
@@ -194,15 +219,26 @@
     });
 
   const canStartNow = (request: AdmissionRequest): boolean =>
-    queue.size() === 0 && slots.hasRoom(currentLimit(), request.isolated);
+    queue.size() === 0 && canStart(request.isolated);
+
+  /** Calls that run at once if they start at the limited rate. */
+  const runningAtLimitedRate = (): number =>
+    Math.max(
+      1,
+      Math.ceil((startRate.perSecond() * meanServiceTime.current()) / MILLISECONDS_PER_SECOND),
+    );
+
+  const reportedLimit = (): number =>
+    startRate.perSecond() === Infinity
+      ? currentLimit()
+      : Math.min(currentLimit(), runningAtLimitedRate());
 
   return {
     tryAdmit: (request) => {
       if (!canStartNow(request)) return undefined;
       const refusal = refuseOnArrival(request);
       if (refusal) return failure(refusal);
-      slots.start(request.isolated);
-      return success(createPermit(createQueuedCall(request, ignoreResult)));
+      return success(start(createQueuedCall(request, ignoreResult)));
     },
     admit: (request, signal) => {
       if (signal?.aborted) return Promise.resolve(failure({ kind: 'caller-gone' }));
@@ -216,10 +252,14 @@
       if (isLeaving()) queue.clear().forEach((call) => refuse(call, { kind: 'upstream-draining' }));
       startQueuedCalls();
     },
+    setRateLimit: (perSecond) => {
+      startRate.setLimit(perSecond);
+      startQueuedCalls();
+    },
     load: () => ({
       running: slots.running(),
       queued: queue.size(),
-      limit: currentLimit(),
+      limit: reportedLimit(),
       cutoffRank: cutoff.rank(),
     }),
   };
--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -80,7 +80,12 @@
         key: typeof key === 'string' ? key : undefined,
         timeoutMilliseconds: timeout === undefined ? undefined : Number(timeout),
       }),
-      readResponse: () => ({ requestId: undefined, isNotRun: false, isSigned: true }),
+      readResponse: () => ({
+        requestId: undefined,
+        isNotRun: false,
+        isSigned: true,
+        limitPerSecond: undefined,
+      }),
       writeUpstreamHeaders: () => [],
       reservedNames: new Set(['key']),
     },
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -27,6 +27,7 @@
 import { createLedgerPeers } from '../quota/createLedgerPeers';
 import { createRepeatLimit } from '../serving/createRepeatLimit';
 import { createRunningCalls } from '../serving/createRunningCalls';
+import { createStatedLimit } from '../serving/createStatedLimit';
 import { createCallServer } from '../serving/createCallServer';
 import { createUpstreamRegistry } from '../serving/createUpstreamRegistry';
 import type { UpstreamInstance } from '../serving/UpstreamInstance';
@@ -158,7 +159,9 @@
     return (await links.get(address).exchange(fields))?.policy;
   }
 
+  const statedLimit = createStatedLimit({ logger, setLimit: admission.setRateLimit });
   const onUpstreamChange = ({ instance, state }: UpstreamView): void => {
+    statedLimit.startInstance(instance);
     const { coldStartMilliseconds, slots } = instance;
     const memberState = state === 'lost' ? 'starting' : state;
     admission.setCapacity({
@@ -217,6 +220,7 @@
     poolOf,
     protocol,
     running: runningCalls,
+    statedLimit,
     repeats: createRepeatLimit({
       ...options.retries,
       upstreamCount: memoizeByRevision(directory.revision, () => directory.members(service).length),
--- a/packages/sidecar/src/lib/protocol/ResponseHead.ts
+++ b/packages/sidecar/src/lib/protocol/ResponseHead.ts
@@ -10,4 +10,6 @@
   readonly isNotRun: boolean;
   /** Whether the response has the signature header that upstreams add to each response they produce. */
   readonly isSigned: boolean;
+  /** Calls per second that the upstream takes from all hosts together; undefined if it states no limit. */
+  readonly limitPerSecond: number | undefined;
 }
--- a/packages/sidecar/src/lib/serving/createCallServer.ts
+++ b/packages/sidecar/src/lib/serving/createCallServer.ts
@@ -16,6 +16,7 @@
 import { isNotRunStatus } from '../protocol/isNotRunStatus';
 import type { RepeatLimit } from './createRepeatLimit';
 import type { RunningCalls } from './createRunningCalls';
+import type { StatedLimit } from './createStatedLimit';
 import type { AttemptResult, UpstreamResponse } from './AttemptResult';
 import type { CallAttempt } from './CallAttempt';
 import type { UpstreamRegistry, UpstreamView } from './UpstreamRegistry';
@@ -25,6 +26,7 @@
   readonly clock: Clock;
   readonly admission: AdmissionController;
   readonly upstream: UpstreamRegistry;
+  readonly statedLimit: StatedLimit;
   /** @returns The connection pool of the upstream at an address. */
   readonly poolOf: (address: string) => ConnectionPool;
   readonly protocol: CallProtocol;
@@ -78,7 +80,8 @@
  * @public
  */
 export function createCallServer(options: CallServerOptions): CallServer {
-  const { admission, clock, logger, poolOf, protocol, repeats, running, upstream } = options;
+  const { admission, clock, logger, poolOf, protocol, repeats, running, statedLimit, upstream } =
+    options;
 
   const refuseByState = (
     call: CallAttempt,
@@ -96,6 +99,8 @@
     const { response } = result;
     const status = response.statusCode as number;
     const head = protocol.readResponse(response.headers);
+    const isCurrent = upstream.current()?.instance.id === view.instance.id;
+    if (isCurrent && (head.isSigned || head.isNotRun)) statedLimit.record(view.instance, head);
     if (isWrongInstance(status)) {
       upstream.markLost();
       return refuse('upstream-draining');
--- a/packages/telemetry/src/lib/events/sidecarEvents.ts
+++ b/packages/telemetry/src/lib/events/sidecarEvents.ts
@@ -63,6 +63,11 @@
     perCall: true,
   },
   upstreamStateChanged: { number: 7100, level: 'info', message: 'upstream changed its state' },
+  upstreamLimitChanged: {
+    number: 7102,
+    level: 'info',
+    message: 'upstream stated another limit of calls per second, or none',
+  },
   announcementRejected: { number: 7101, level: 'warn', message: 'malformed announcement ignored' },
   memberChanged: { number: 7200, level: 'info', message: 'state of another node changed' },
   memberUnreachable: { number: 7201, level: 'warn', message: 'node does not respond' },
