--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -85,6 +85,7 @@
         isNotRun: false,
         isSigned: true,
         limitPerSecond: undefined,
+        isLeaving: false,
       }),
       writeUpstreamHeaders: () => [],
       reservedNames: new Set(['key']),
--- a/packages/sidecar/src/lib/protocol/ResponseHead.ts
+++ b/packages/sidecar/src/lib/protocol/ResponseHead.ts
@@ -12,4 +12,6 @@
   readonly isSigned: boolean;
   /** Calls per second that the upstream takes from all hosts together; undefined if it states no limit. */
   readonly limitPerSecond: number | undefined;
+  /** Whether the upstream states that it is leaving. */
+  readonly isLeaving: boolean;
 }
--- a/packages/sidecar/src/lib/serving/UpstreamRegistry.ts
+++ b/packages/sidecar/src/lib/serving/UpstreamRegistry.ts
@@ -23,6 +23,8 @@
   readonly leave: (id: UpstreamId) => void;
   /** Applies a departure that an earlier process of this node has acknowledged. */
   readonly restoreDeparture: (departure: MemberDeparture) => void;
+  /** Marks the upstream as draining for the rest of its life, because a response of it says so. */
+  readonly markLeaving: () => void;
   /** Marks the upstream as lost, because it refuses connections, until its next announcement. */
   readonly markLost: () => void;
   readonly close: () => void;
--- a/packages/sidecar/src/lib/serving/createCallServer.ts
+++ b/packages/sidecar/src/lib/serving/createCallServer.ts
@@ -15,6 +15,7 @@
 import type { CallProtocol } from '../protocol/CallProtocol';
 import { isNotRunStatus } from '../protocol/isNotRunStatus';
 import type { RepeatLimit } from './createRepeatLimit';
+import { isSameStart } from './isSameStart';
 import type { RunningCalls } from './createRunningCalls';
 import type { StatedLimit } from './createStatedLimit';
 import type { AttemptResult, UpstreamResponse } from './AttemptResult';
@@ -99,8 +100,12 @@
     const { response } = result;
     const status = response.statusCode as number;
     const head = protocol.readResponse(response.headers);
-    const isCurrent = upstream.current()?.instance.id === view.instance.id;
-    if (isCurrent && (head.isSigned || head.isNotRun)) statedLimit.record(view.instance, head);
+    const current = upstream.current()?.instance;
+    const isCurrent = current !== undefined && isSameStart(current, view.instance);
+    if (isCurrent && (head.isSigned || head.isNotRun)) {
+      statedLimit.record(view.instance, head);
+      if (head.isLeaving) upstream.markLeaving();
+    }
     if (isWrongInstance(status)) {
       upstream.markLost();
       return refuse('upstream-draining');
--- a/packages/sidecar/src/lib/serving/createStatedLimit.ts
+++ b/packages/sidecar/src/lib/serving/createStatedLimit.ts
@@ -1,6 +1,7 @@
 import type { EventLogger } from '@buckthornslip/telemetry';
 
 import type { ResponseHead } from '../protocol/ResponseHead';
+import { isSameStart } from './isSameStart';
 import type { UpstreamInstance } from './UpstreamInstance';
 
 /** Relative change of a limit from which it is logged. */
@@ -24,10 +25,6 @@
   readonly startInstance: (instance: UpstreamInstance) => void;
 }
 
-function isSameStart(first: UpstreamInstance, second: UpstreamInstance): boolean {
-  return first.id === second.id && first.startedMilliseconds === second.startedMilliseconds;
-}
-
 /**
  * Creates the stated limit. All calls to the upstream start at this node, so its limit is the limit for all hosts together.
  *
--- a/packages/sidecar/src/lib/serving/createUpstreamRegistry.test.ts
+++ b/packages/sidecar/src/lib/serving/createUpstreamRegistry.test.ts
@@ -46,6 +46,18 @@
   test.equal(registry.current()?.state, 'draining');
 });
 
+// Guards against new work for an upstream that states in a response that it is leaving, and announces "ready" late.
+void t.test('an upstream that says it is leaving stays draining', async (test) => {
+  const { registry, states } = createRegistry();
+  registry.announce(instance({ sequence: 2 }));
+  registry.markLeaving();
+  registry.announce(instance({ sequence: 3 }));
+  test.equal(registry.current()?.state, 'draining');
+  registry.leave('i-1' as UpstreamId);
+  registry.markLeaving();
+  test.same(states, ['ready', 'draining', 'left']);
+});
+
 // Guards against an announcement of a departed or replaced upstream that is delayed by a network partition.
 void t.test('an earlier start does not replace a later one', async (test) => {
   const { registry } = createRegistry();
--- a/packages/sidecar/src/lib/serving/createUpstreamRegistry.ts
+++ b/packages/sidecar/src/lib/serving/createUpstreamRegistry.ts
@@ -115,6 +115,11 @@
       if (!view || !isCurrent) return;
       setView({ ...view, state: departure.state }, 'departure before the restart of this node');
     },
+    markLeaving: () => {
+      if (!view || view.state === 'draining' || view.state === 'left') return;
+      rememberDeparture({ ...startOf(view.instance), state: 'draining' });
+      setView({ ...view, state: 'draining' }, 'response');
+    },
     markLost: () => setLost('connection-refused'),
     close: () => stopTimer?.(),
   };
