--- a/packages/sidecar/src/lib/directory/memberMessages.ts
+++ b/packages/sidecar/src/lib/directory/memberMessages.ts
@@ -10,6 +10,8 @@
 import type { channelMessages } from '@buckthornslip/wire';
 
 import { isAddress } from './isAddress';
+import { isCount } from './isCount';
+import { recordLimits } from './recordLimits';
 
 const STATES: Readonly<Record<string, MemberState>> = {
   starting: 'starting',
@@ -44,12 +46,14 @@
 
 /**
  * @param message - A member record in wire form.
- * @returns The record, or undefined if it names no host or no usable address. An unknown state of a later release is read
+ * @returns The record, or undefined if it names no host or no usable address, or has a number out of range. An unknown state of a later release is read
  *   as "starting".
  * @internal
  */
 export function fromMemberMessage(message: channelMessages.Member): Member | undefined {
   if (message.host === '' || !isAddress(message.peerAddress)) return undefined;
+  if (!isCount(message.incarnation, recordLimits.incarnation)) return undefined;
+  if (!isCount(message.version, recordLimits.version)) return undefined;
   return {
     host: message.host as HostId,
     incarnation: message.incarnation as Incarnation,
--- a/packages/sidecar/src/lib/directory/memberRecords.test.ts
+++ b/packages/sidecar/src/lib/directory/memberRecords.test.ts
@@ -4,6 +4,7 @@
 import t from 'tap';
 
 import { fromMemberMessage, toMemberMessage } from './memberMessages';
+import { encodeRecord } from './memberRecord';
 import { parseMember } from './parseMember';
 
 const SEED = 20_261_204;
@@ -37,6 +38,38 @@
   }
 });
 
+// Guards against a record that can be read but not sent on: encoding it throws, and no list with it reaches another node.
+void t.test('a record with a number out of range is rejected', async (test) => {
+  const tooLarge = { slots: 3e9, connections: 3e9, version: 1e300, incarnation: 1e300 };
+  for (const [name, value] of Object.entries(tooLarge)) {
+    test.equal(parseMember({ ...member, [name]: value }), undefined, `${name}: ${value}`);
+    test.equal(parseMember({ ...member, [name]: 1.5 }), undefined, `${name}: 1.5`);
+  }
+  // Its own node would have to use a higher incarnation.
+  const incarnation = Number.MAX_SAFE_INTEGER;
+  test.equal(parseMember({ ...member, incarnation }), undefined);
+  test.equal(fromMemberMessage({ ...toMemberMessage(member), incarnation }), undefined);
+});
+
+// Guards against the same failure for any other value.
+void t.test('a record that is read can be sent on', async (test) => {
+  const anyNumber = fc.oneof(fc.double(), fc.maxSafeInteger());
+  const numbers = fc.record({
+    slots: anyNumber,
+    connections: anyNumber,
+    version: anyNumber,
+    incarnation: anyNumber,
+  });
+  fc.assert(
+    fc.property(numbers, (values) => {
+      const decoded = parseMember({ ...member, ...values });
+      if (decoded) encodeRecord(decoded);
+    }),
+    { seed: SEED, numRuns: 1_000 },
+  );
+  test.pass('no record threw');
+});
+
 // Guards against records of another writer that make the decoder throw.
 void t.test('the decoder accepts or rejects any value', async (test) => {
   const anyField = fc.oneof(fc.jsonValue(), fc.constant(undefined));
--- a/packages/sidecar/src/lib/directory/parseMember.ts
+++ b/packages/sidecar/src/lib/directory/parseMember.ts
@@ -2,6 +2,8 @@
 import type { Member, MemberState } from '@buckthornslip/membership';
 
 import { isAddress } from './isAddress';
+import { isCount } from './isCount';
+import { recordLimits } from './recordLimits';
 
 const STATES: ReadonlySet<unknown> = new Set<MemberState>([
   'starting',
@@ -12,8 +14,6 @@
 
 const isText = (value: unknown): value is string => typeof value === 'string' && value !== '';
 
-const isCount = (value: unknown): value is number => Number.isFinite(value) && Number(value) >= 0;
-
 /**
  * Validates a record written by another node. It is written by hand because a schema library would use a tenth of the
  * node's memory for this one message.
@@ -30,7 +30,9 @@
   const hasLocation = isText(host) && isText(region) && isText(zone);
   const hasAddresses = isAddress(peerAddress) && isAddress(controlAddress);
   if (!hasLocation || !hasAddresses || !STATES.has(state)) return undefined;
-  if (!isCount(incarnation) || !isCount(version) || !isCount(slots) || !isCount(connections)) {
+  if (!isCount(incarnation, recordLimits.incarnation)) return undefined;
+  if (!isCount(version, recordLimits.version)) return undefined;
+  if (!isCount(slots, recordLimits.slots) || !isCount(connections, recordLimits.slots)) {
     return undefined;
   }
   if (service !== undefined && !isText(service)) return undefined;
