sidecar: the endless upstream of the tests writes in turns

Traced: the upstream of the test, in the same process, wrote 144,767 parts in one turn of the event loop, which took 230 ms on a free core and more than the deadline of the request beside load, so the client could not read before it. The checks are the same.

--- a/packages/sidecar/src/lib/http/exchange.test.ts
+++ b/packages/sidecar/src/lib/http/exchange.test.ts
@@ -255,10 +255,16 @@
   },
 };
 
+/** Parts that are written in one turn of the event loop, so that the exchange in the same process can read them. */
+const PARTS_PER_TURN = 200;
+
 /** Writes parts until the other side closes the connection. */
 function writeEndlessly(socket: Socket, start: string, part: string): void {
   const writeMore = (): void => {
-    while (!socket.destroyed && socket.write(part));
+    for (let parts = 0; parts < PARTS_PER_TURN; parts += 1) {
+      if (socket.destroyed || !socket.write(part)) return;
+    }
+    setImmediate(writeMore);
   };
   socket.write(start);
   socket.on('drain', writeMore);
