sidecar: late in a stop, keyless requests are accepted only while the upstream runs calls

Reported by other operators: in a planned stop, requests that came late were taken and passed on, and cut at the end.

Requests without a key are taken for calls of the local upstream and were accepted until the end, also those of callers on open routes. Now they are accepted only while the upstream runs a call that could make them.

Test: createEntry.test.ts, 'late in a shutdown only calls of the local upstream are accepted'; it asks for more than before, since its keyless request needs a running call now.

--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -296,9 +296,17 @@
 
 // Guards against a call that starts so late in a shutdown that its response is truncated.
 void t.test('late in a shutdown only calls of the local upstream are accepted', async (test) => {
-  const { close, send } = await startEntry(async () => answered(), { refusesCallers: true });
+  const { clock, close, running, send } = await startEntry(async () => answered(), {
+    refusesCallers: true,
+  });
+  test.equal(await send('/inner/1', {}), 503, 'the upstream runs no call that could make it');
+  const now = clock.monotonicMilliseconds();
+  const parent = { requestId: 'parent', rank: 1, chargedAccount: undefined, isRepeat: false };
+  const { end } = running.add(parent, now, now + 500);
   test.equal(await send('/read/1', { key: 'other-key' }), 503);
   test.equal(await send('/inner/1', {}), 200);
+  end();
+  test.equal(await send('/inner/1', {}), 503);
   close();
 });
 
--- a/packages/sidecar/src/lib/entry/createRequestAcceptor.ts
+++ b/packages/sidecar/src/lib/entry/createRequestAcceptor.ts
@@ -64,8 +64,10 @@
     // Callers and the local upstream connect from the same address. An upstream sends no key, and callers rarely use
     // open routes.
     const isNested = entry.route.access === 'open' && head.key === undefined;
-    // A call that starts late in a shutdown could be interrupted by its end.
-    if (!isNested && options.refusesCallers()) return failure(refuse('node-stopping'));
+    // A call that starts late in a shutdown could be interrupted by its end. Those of the local upstream are accepted, because
+    // calls that run there need them.
+    const mayBeNested = isNested && !options.running.isEmpty();
+    if (!mayBeNested && options.refusesCallers()) return failure(refuse('node-stopping'));
     const parent = isNested ? findParent(entry.route, head) : undefined;
     const ownRank = options.priorityRanks()?.rankOf(account.value, entry.route) ?? 0;
     // A nested call with an unknown parent may belong to an urgent call, and its parent has already used resources.
--- a/packages/sidecar/src/lib/serving/createRunningCalls.ts
+++ b/packages/sidecar/src/lib/serving/createRunningCalls.ts
@@ -45,6 +45,8 @@
     startedMilliseconds: number,
     deadlineMilliseconds: number,
   ) => TrackedCall;
+  /** @returns Whether the upstream runs no call, so that it can't make nested ones. */
+  readonly isEmpty: () => boolean;
   /** @returns The parent of a nested call; undefined if none matches. */
   readonly findParent: (nested: NestedCall) => RunningParent | undefined;
 }
@@ -126,6 +128,7 @@
         hasShedCall: entry.call.hasShedCall,
       };
     },
+    isEmpty: () => running.size === 0,
     findParent: (nested) => {
       const deadline = nested.nowMilliseconds + nested.remainingMilliseconds;
       const start = deadline - routeTimeoutOf(nested);
