limits: the timeout of token requests adapts to the token servers

What callers could see: 503 limit-unavailable inside their account's rate while the nodes are short of processor time.

Cause: each token request has 150 ms. A server that needs longer answers each request too late, so its tokens are discarded, and the call is refused after 2 s although the server has answered all the while.

Change: a timeout doubles after each timeout, up to 1.2 s, and is three times the response time after an answer.

--- a/packages/limits/src/lib/entry/createTokenServerClient.ts
+++ b/packages/limits/src/lib/entry/createTokenServerClient.ts
@@ -3,11 +3,9 @@
 import { limitsPartition } from '../groups/limitsPartition';
 import { MINIMUM_DIVIDED_BURST } from '../split/MINIMUM_DIVIDED_BURST';
 import type { AccountLimiterOptions } from './AccountLimiterOptions';
+import { createResponseTimeouts } from './createResponseTimeouts';
 import type { AnsweredRequest, TokenServerAnswer, TokenServerClient } from './TokenServerClient';
 
-/** Response timeout in milliseconds. A round trip between regions takes 30 ms. */
-const RESPONSE_TIMEOUT_MILLISECONDS = 150;
-
 /**
  * Maximum number of requests for one answer: to the own region, to another region, and after a
  * renewed lookup.
@@ -29,6 +27,7 @@
  */
 export function createTokenServerClient(options: AccountLimiterOptions): TokenServerClient {
   const { clock, leases, peers, grouping, logger } = options;
+  const timeouts = createResponseTimeouts();
   const regions = new Map<AccountId, RegionId>();
   const backoffUntil = new Map<RegionId, number>();
   const regionOf = (account: AccountId): RegionId => regions.get(account) ?? options.region;
@@ -46,8 +45,13 @@
     const request = { partition, account, region: options.region, ...buildRequest(partition) };
     const sentMilliseconds = clock.monotonicMilliseconds();
     const address = location.value.controlAddress;
-    const result = await peers.grantTokens(address, request, RESPONSE_TIMEOUT_MILLISECONDS);
-    if (result.ok) return { request, response: result.value, sentMilliseconds };
+    const result = await peers.grantTokens(address, request, timeouts.of(address));
+    const elapsedMilliseconds = clock.monotonicMilliseconds() - sentMilliseconds;
+    if (result.ok) {
+      timeouts.recordAnswer(address, elapsedMilliseconds);
+      return { request, response: result.value, sentMilliseconds };
+    }
+    if (elapsedMilliseconds >= timeouts.of(address)) timeouts.recordTimeout(address);
     logger.log('limitHolderUnreachable', { partition, address });
     leases.forgetLocation(partition);
     return undefined;
