sidecar: contacts to relays don't count towards their death

A node that is no relay took a relay for dead after 1.7 s of silence, where 2 to 4 s were usual, sooner than the other nodes, and used other account ledgers meanwhile.

Test: relayFailure.test.ts, 'contacts to relays declare no node dead'; before, it failed at six of seven times of the failure.

--- a/packages/sidecar/src/lib/directory/createMemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/createMemberDirectory.ts
@@ -109,10 +109,10 @@
       contactOne: async () => {
         contacts += 1;
         const relay = pick(otherRelays(), contacts);
-        return relay ? sendUpdate(relay, []) : false;
+        return relay ? contact(relay) : false;
       },
       contactAll: () => {
-        const answers = merge(...otherRelays().map((relay) => sendUpdate(relay, [])));
+        const answers = merge(...otherRelays().map(contact));
         return firstValueFrom(answers.pipe(first(Boolean, false)));
       },
     },
@@ -230,18 +230,34 @@
     }
   };
 
-  async function send(member: Member, sent: DirectoryMessage): Promise<boolean> {
+  async function request(
+    member: Member,
+    sent: DirectoryMessage,
+  ): Promise<DirectoryMessage | undefined> {
     const answer = await peers.exchange(member.peerAddress, sent);
-    if (isClosed) return false;
+    if (isClosed || !answer) return undefined;
+    applyMessage(answer);
+    return answer;
+  }
+
+  async function send(member: Member, sent: DirectoryMessage): Promise<boolean> {
+    const answer = await request(member, sent);
     if (!answer) {
-      countFailure(member);
+      if (!isClosed) countFailure(member);
       return false;
     }
-    applyMessage(answer);
     if (!sent.isUpdate && answer.members.length > 0) removeMissing(answer);
     return true;
   }
 
+  /**
+   * Contacts a relay. A failure does not count towards its death: contacts are frequent and early, and nodes that take a
+   * member for dead sooner than others use another node's account ledgers meanwhile.
+   */
+  async function contact(relay: Member): Promise<boolean> {
+    return (await request(relay, message([], true))) !== undefined;
+  }
+
   const exchangeWith = (member: Member): Promise<boolean> => send(member, message([], false));
 
   function sendUpdate(member: Member, members: readonly Member[]): Promise<boolean> {
--- a/packages/sidecar/src/lib/directory/relayFailure.test.ts
+++ b/packages/sidecar/src/lib/directory/relayFailure.test.ts
@@ -7,6 +7,9 @@
 /** Time that a node has on a real network to open a connection to the store and to read it, in milliseconds. */
 const STORE_READ_MILLISECONDS = 300;
 
+/** Outage in which two exchanges of one node with the same relay do not both time out, in milliseconds. */
+const OUTAGE_MILLISECONDS = 1_700;
+
 const ZONES = 4;
 const SEED = 202_612_051;
 
@@ -62,3 +65,16 @@
   fleet.followers.delete(failed as string);
   test.equal(relaysOf(fleet, zoneOf('host-0')).length, 3);
 });
+
+// Guards against nodes that take a relay for dead sooner than others do, and then use another node's account ledgers.
+void t.test('contacts to relays declare no node dead', async (test) => {
+  for (const failure of FAILURE_MILLISECONDS) {
+    const { fleet, hosts } = await startFleet(4);
+    await fleet.clock.advance(failure);
+    const relays = relaysOf(fleet, zoneOf('host-1'));
+    relays.forEach((host) => fleet.unreachable.add(host));
+    await fleet.clock.advance(OUTAGE_MILLISECONDS);
+    relays.forEach((host) => fleet.unreachable.delete(host));
+    test.equal(fleet.usable('host-1').length, hosts.length, `failure at ${failure}`);
+  }
+});
