sidecar: a restarted node serves its own ledger requests only when it knows the other nodes

Cause: a node that starts knows only itself for some calls of the store. It places every ledger on itself, with five tokens and the account's whole rate, and so do all the others that restart with it.

Change: a restarted node reads the records of all zones at once; an old state will do. Its ledger requests wait for that, 1.5 s at the longest.

--- a/packages/sidecar/src/lib/directory/MemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/MemberDirectory.ts
@@ -19,6 +19,11 @@
 > {
   /** Registers this node in the store and starts reading and exchanging records. */
   readonly start: () => void;
+  /**
+   * @returns A promise that resolves when this node knows the other nodes. Until then, a restarted node knows only itself, so
+   *   it can't tell what it is responsible for.
+   */
+  readonly whenInformed: () => Promise<void>;
   /** Changes this node's record and sends it to the other nodes. */
   readonly update: (change: SelfUpdate) => void;
   /** Passes the revision of the current policy on, if this node is a relay. */
--- a/packages/sidecar/src/lib/directory/createMemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/createMemberDirectory.ts
@@ -76,6 +76,10 @@
   const removed = new Map<HostId, Member>();
   const probing = new Set<HostId>();
   let { self } = options;
+  let resolveInformed = (): void => undefined;
+  const informed = new Promise<void>((resolve) => {
+    resolveInformed = resolve;
+  });
   let isClosed = false;
   let wasRegistered = false;
   let rounds = 0;
@@ -328,6 +332,12 @@
     else await Promise.all(otherRelays().map((relay) => exchangeWith(relay)));
   };
 
+  /** The records of earlier processes are still in the store, so an old state of it names the other nodes as well. */
+  const informAfterRestart = async (): Promise<void> => {
+    await Promise.race([readAllZones(), clock.sleep(directoryTimes.informedTimeout)]);
+    resolveInformed();
+  };
+
   const registration = createNodeRegistration({
     clock,
     store,
@@ -409,7 +419,10 @@
     suspect: (host) => {
       void probe(host);
     },
+    whenInformed: () => informed,
     start: () => {
+      if (options.isFirstStart) resolveInformed();
+      else void informAfterRestart();
       registration.start();
       duty.start(readAllZones);
       void exchangePeriodically();
--- a/packages/sidecar/src/lib/directory/directoryTimes.ts
+++ b/packages/sidecar/src/lib/directory/directoryTimes.ts
@@ -12,6 +12,8 @@
   changeDelay: 50,
   /** Time after the start at which a node decides whether it is a relay; until then it may not know its zone. */
   firstRoleDelay: 1_000,
+  /** Time after a restart after which a node acts on the nodes it knows, even if it has not read the records of the others. */
+  informedTimeout: 1_500,
   /** Delay before a policy is fetched from another zone, because the relays usually read it from the store. */
   remotePolicyDelay: 600,
   /** Time without contact after which a node that has no record in the store is removed. */
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -193,10 +193,10 @@
   const allowanceOf = (account: AccountId) => policy.current()?.accounts.get(account);
   const ledger = createAccountLedger(clock, { allowanceOf, isFirstStart: options.isFirstStart });
   const locator = createLedgerLocator(directory);
-  const { suspect } = directory;
+  const { suspect, whenInformed } = directory;
   const rateLimiter = createLedgerRateLimiter({
     clock,
-    ledgers: createLedgerPeers({ logger, host, ledger, locator, links, suspect }),
+    ledgers: createLedgerPeers({ logger, host, ledger, locator, links, suspect, whenInformed }),
     allowanceOf,
     nodeCount: () => directory.livePeers().length + 1,
   });
--- a/packages/sidecar/src/lib/quota/createLedgerPeers.ts
+++ b/packages/sidecar/src/lib/quota/createLedgerPeers.ts
@@ -12,7 +12,9 @@
   readonly host: HostId;
   readonly ledger: AccountLedger;
   readonly locator: LedgerLocator;
-  readonly links: PeerLinks;
+  readonly links: Pick<PeerLinks, 'get'>;
+  /** @returns A promise that resolves when this node knows the other nodes. */
+  readonly whenInformed: () => Promise<void>;
   /** Reports a node that does not answer. */
   readonly suspect: (host: HostId) => void;
 }
@@ -28,9 +30,11 @@
  * @internal
  */
 export function createLedgerPeers(options: LedgerPeersOptions): LedgerPeers {
-  const { host, ledger, links, locator, logger, suspect } = options;
+  const { host, ledger, links, locator, logger, suspect, whenInformed } = options;
   return {
     request: async (request) => {
+      // Restarted nodes that know only themselves would each grant the whole rate of an account.
+      await whenInformed();
       for (let attempts = 0; attempts < MAXIMUM_ATTEMPTS; attempts += 1) {
         const ledgerNode = locator.locate(request.account);
         if (!ledgerNode) break;
