sidecar: after a restart without the store, a list from another node informs a node

A restarted node whose first reading of the records failed at once served its own ledger requests at once as well, as if it knew the other nodes.

Change: only a successful reading or a list from another node ends the wait before its limit of 1.5 s.

--- a/packages/sidecar/src/lib/directory/createMemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/createMemberDirectory.ts
@@ -250,7 +250,10 @@
       if (!isClosed) countFailure(member);
       return false;
     }
-    if (!sent.isUpdate && answer.members.length > 0) removeMissing(answer);
+    if (!sent.isUpdate && answer.members.length > 0) {
+      removeMissing(answer);
+      resolveInformed();
+    }
     return true;
   }
 
@@ -319,11 +322,13 @@
     if (listing && !isClosed) applyListing(listing);
   };
 
-  const readAllZones = async (): Promise<void> => {
+  /** @returns Whether the records could be read. */
+  const readAllZones = async (): Promise<boolean> => {
     const listing = await records.read(undefined, 0);
-    if (!listing || isClosed) return;
+    if (!listing || isClosed) return false;
     applyListing(listing);
     removeAbsent(listing.hosts, 'no record in the store');
+    return true;
   };
 
   /** A relay reads the records of other zones, another node gets them from the relays of its zone. */
@@ -332,10 +337,13 @@
     else await Promise.all(otherRelays().map((relay) => exchangeWith(relay)));
   };
 
-  /** The records of earlier processes are still in the store, so an old state of it names the other nodes as well. */
+  /**
+   * The records of earlier processes are still in the store, so an old state of it names the other nodes as well. Without the
+   * store, a list from another node does.
+   */
   const informAfterRestart = async (): Promise<void> => {
-    await Promise.race([readAllZones(), clock.sleep(directoryTimes.informedTimeout)]);
-    resolveInformed();
+    clock.setTimer(directoryTimes.informedTimeout, resolveInformed);
+    if (await readAllZones()) resolveInformed();
   };
 
   const registration = createNodeRegistration({
@@ -424,7 +432,9 @@
       if (options.isFirstStart) resolveInformed();
       else void informAfterRestart();
       registration.start();
-      duty.start(readAllZones);
+      duty.start(() => {
+        void readAllZones();
+      });
       void exchangePeriodically();
     },
     update: (change) => {
--- a/packages/sidecar/src/lib/directory/memberMessages.ts
+++ b/packages/sidecar/src/lib/directory/memberMessages.ts
@@ -46,8 +46,8 @@
 
 /**
  * @param message - A member record in wire form.
- * @returns The record, or undefined if it names no host or no usable address, or has a number out of range. An unknown state of a later release is read
- *   as "starting".
+ * @returns The record, or undefined if it names no host or no usable address, or has a number out of range. An unknown
+ *   state of a later release is read as "starting".
  * @internal
  */
 export function fromMemberMessage(message: channelMessages.Member): Member | undefined {
