--- a/packages/sidecar/src/lib/http/exchange.test.ts
+++ b/packages/sidecar/src/lib/http/exchange.test.ts
@@ -83,8 +83,8 @@
 
 // Guards against passing on a response whose head was cut off as a complete one without a body.
 void t.test('a response that ends within its head is no response', async (test) => {
-  const head = 'HTTP/1.1 200 OK\r\nX-Response-Signature: signed\r\nContent-Length: 2\r\n\r\n';
-  const unframed = 'HTTP/1.1 200 OK\r\nX-Response-Signature: signed\r\nX-Other: 1\r\n\r\n';
+  const head = 'HTTP/1.1 200 OK\r\nX-Signature: signed\r\nContent-Length: 2\r\n\r\n';
+  const unframed = 'HTTP/1.1 200 OK\r\nX-Signature: signed\r\nX-Other: 1\r\n\r\n';
   for (const whole of [head, unframed]) {
     for (let length = 0; length < whole.length; length += 1) {
       const cut = (socket: Socket): void => {
