--- a/packages/common/src/lib/clock/Clock.ts
+++ b/packages/common/src/lib/clock/Clock.ts
@@ -23,7 +23,7 @@
   readonly sleep: (milliseconds: number, signal?: AbortSignal) => Promise<void>;
 
   /**
-   * Calls a function once after a delay.
+   * Calls a function once after a delay, never earlier by {@link Clock.monotonicMilliseconds}.
    *
    * @param milliseconds - Delay, in milliseconds.
    * @param callback - Function to call.
--- a/packages/routing/src/lib/choice/createRouter.test.ts
+++ b/packages/routing/src/lib/choice/createRouter.test.ts
@@ -1,4 +1,5 @@
 import type {
+  Clock,
   HostId,
   Incarnation,
   Priority,
@@ -6,7 +7,7 @@
   ServiceId,
   ZoneId,
 } from '@buckthornslip/common';
-import { createFakeClock, createSeededRandom } from '@buckthornslip/common';
+import { createFakeClock, createSeededRandom, createSystemClock } from '@buckthornslip/common';
 import type { Member } from '@buckthornslip/membership';
 import type { AttemptReport, LinkBudgetSettings, RouterSettings } from '@buckthornslip/routing';
 import { createRouter } from '@buckthornslip/routing';
@@ -46,7 +47,7 @@
 function createRouterFixture(
   seed: number,
   initial: readonly Member[],
-  options: { link?: LinkBudgetSettings; settings?: Partial<RouterSettings> } = {},
+  options: { link?: LinkBudgetSettings; settings?: Partial<RouterSettings>; clock?: Clock } = {},
 ) {
   const clock = createFakeClock();
   const members = new BehaviorSubject<readonly Member[]>(initial);
@@ -54,7 +55,7 @@
   const router = createRouter({
     region: 'riga' as RegionId,
     zone: 'riga-1' as ZoneId,
-    clock,
+    clock: options.clock ?? clock,
     random: createSeededRandom(seed),
     logger: createSilentLogger(),
     linkBudget: () => options.link ?? wideLink,
@@ -192,6 +193,27 @@
   }
 });
 
+// Guards against a member that stays ejected for good because its timer fired before the end of the ejection.
+void t.test('an ejected member returns when nothing else changes', async (test) => {
+  const clock = createSystemClock();
+  const keepAlive = setInterval(() => undefined, 1_000);
+  test.teardown(() => clearInterval(keepAlive));
+  const hasReturned = async (seed: number): Promise<boolean> => {
+    const settings = { baseEjectionMilliseconds: 20 + seed / 7 };
+    const fixture = createRouterFixture(seed, membersIn('riga-1', 2), { clock, settings });
+    while (fixture.suspects.length === 0) {
+      const member = await fixture.chooseHost();
+      fixture.report(member!.host, 'failed');
+    }
+    await clock.sleep(100);
+    const used = new Set<HostId | undefined>();
+    for (let call = 0; call < 50; call += 1) used.add((await fixture.chooseHost())?.host);
+    return used.size === 2;
+  };
+  const returned = await Promise.all(Array.from({ length: 30 }, (_, seed) => hasReturned(seed)));
+  test.equal(returned.filter((isBack) => !isBack).length, 0, 'members that stayed ejected');
+});
+
 void t.test(
   'when a member leaves, an ejection that exceeds half of the service is lifted',
   async (test) => {
