common: one token bucket for accounts, links, starts and log lines

The token bucket was written four times: for the ledger of accounts, for the bytes of a link, for the calls that a limited upstream starts, and for log lines. createTokenBucket in packages/common serves all four. The bucket of outstanding grants (createShareBucket) stays, because its room depends on grants.

--- a/packages/admission/src/lib/limit/createStartRate.ts
+++ b/packages/admission/src/lib/limit/createStartRate.ts
@@ -1,6 +1,5 @@
-import type { Clock } from '@buckthornslip/common';
-
-const MILLISECONDS_PER_SECOND = 1_000;
+import type { Clock, TokenBucket, TokenRate } from '@buckthornslip/common';
+import { createTokenBucket } from '@buckthornslip/common';
 
 /** Time without calls whose unused starts are kept, in seconds. */
 const BURST_SECONDS = 1;
@@ -32,37 +31,26 @@
  * @internal
  */
 export function createStartRate(clock: Clock): StartRate {
-  const now = clock.monotonicMilliseconds;
   let limit = Infinity;
-  let tokens = 0;
-  let updatedMilliseconds = now();
-
-  const refill = (): void => {
-    const earned = ((now() - updatedMilliseconds) / MILLISECONDS_PER_SECOND) * limit;
-    updatedMilliseconds = now();
-    tokens = Math.min(Math.max(1, limit * BURST_SECONDS), tokens + earned);
-  };
+  const rate = (): TokenRate => ({
+    tokensPerSecond: limit,
+    capacity: Math.max(1, limit * BURST_SECONDS),
+  });
+  let starts: TokenBucket | undefined;
 
   return {
     setLimit: (perSecond) => {
       const next = Math.max(MINIMUM_PER_SECOND, perSecond ?? Infinity);
       if (next === limit) return;
-      // The calls that started before the first limit are not known, so nothing is saved.
-      if (limit === Infinity) tokens = 0;
-      else refill();
-      updatedMilliseconds = now();
+      // Starts that were earned at the rate until now are kept.
+      starts?.available();
       limit = next;
+      if (limit === Infinity) starts = undefined;
+      // The calls that started before the first limit are not known, so nothing is saved.
+      else starts ??= createTokenBucket(clock, rate, 0);
     },
     perSecond: () => limit,
-    delayMilliseconds: () => {
-      if (limit === Infinity) return 0;
-      refill();
-      return tokens >= 1 ? 0 : Math.ceil(((1 - tokens) / limit) * MILLISECONDS_PER_SECOND);
-    },
-    start: () => {
-      if (limit === Infinity) return;
-      refill();
-      tokens -= 1;
-    },
+    delayMilliseconds: () => (starts ? Math.ceil(starts.millisecondsUntil(1)) : 0),
+    start: () => starts?.take(1),
   };
 }
--- a/packages/limits/src/lib/ledger/createAccountLedger.ts
+++ b/packages/limits/src/lib/ledger/createAccountLedger.ts
@@ -1,9 +1,9 @@
-import type { AccountId, Clock } from '@buckthornslip/common';
+import type { AccountId, Clock, TokenRate } from '@buckthornslip/common';
+import { createTokenBucket } from '@buckthornslip/common';
 
 import type { AccountAllowance } from './AccountAllowance';
 import type { AccountLedger, AccountLedgerOptions } from './AccountLedger';
 import { createEffectiveAllowance } from './createEffectiveAllowance';
-import { createTokenBucket } from './createTokenBucket';
 import type { TokenRequestQueue } from './createTokenRequestQueue';
 import { createTokenRequestQueue } from './createTokenRequestQueue';
 
@@ -25,6 +25,12 @@
 
 const NO_ALLOWANCE: AccountAllowance = { ratePerSecond: 0, burst: 0 };
 
+/** The capacity is at least one token; otherwise an account with a burst below one would never get any. */
+const tokenRateOf = ({ burst, ratePerSecond }: AccountAllowance): TokenRate => ({
+  tokensPerSecond: ratePerSecond,
+  capacity: Math.max(1, burst),
+});
+
 /**
  * Creates a ledger. A bucket from which an earlier node may have granted tokens starts with few: the account gets its rate
  * at once and its burst as the bucket refills, so it exceeds its limit by these tokens at most.
@@ -49,7 +55,7 @@
     const startsFull = options.isFirstStart && age < FIRST_START_PERIOD_MILLISECONDS;
     const { burst } = allowance();
     const initialTokens = startsFull ? burst : Math.min(burst, MOVED_BUCKET_TOKENS);
-    const bucket = createTokenBucket(clock, allowance, initialTokens);
+    const bucket = createTokenBucket(clock, () => tokenRateOf(allowance()), initialTokens);
     const created = createTokenRequestQueue(clock, bucket, allowance);
     queues.set(account, created);
     return created;
--- a/packages/limits/src/lib/ledger/createTokenRequestQueue.ts
+++ b/packages/limits/src/lib/ledger/createTokenRequestQueue.ts
@@ -1,7 +1,6 @@
-import type { Clock } from '@buckthornslip/common';
+import type { Clock, TokenBucket } from '@buckthornslip/common';
 
 import type { AccountAllowance } from './AccountAllowance';
-import type { TokenBucket } from './createTokenBucket';
 import type { LedgerGrant } from './LedgerGrant';
 import type { LedgerRequest } from './LedgerRequest';
 
@@ -45,11 +44,12 @@
   const waiters: Waiter[] = [];
   let waitingTokens = 0;
   let isTimerSet = false;
+  const wholeTokens = (): number => Math.floor(bucket.available());
 
   const serveWaiters = (): void => {
     isTimerSet = false;
     for (let first = waiters[0]; first && bucket.available() >= 1; [first] = waiters) {
-      const tokens = Math.min(first.needed, bucket.available());
+      const tokens = Math.min(first.needed, wholeTokens());
       bucket.take(tokens);
       waitingTokens -= first.needed;
       waiters.shift();
@@ -65,7 +65,7 @@
   }
 
   const grantNow = ({ ahead, needed }: LedgerRequest): LedgerGrant => {
-    const available = bucket.available();
+    const available = wholeTokens();
     const spare = Math.max(
       0,
       available - needed - allowance().burst * MINIMUM_BURST_SHARE_FOR_PREFETCH,
--- a/packages/routing/src/lib/link/createLinkBudget.ts
+++ b/packages/routing/src/lib/link/createLinkBudget.ts
@@ -1,11 +1,10 @@
 import type { Clock, Priority } from '@buckthornslip/common';
+import { createTokenBucket } from '@buckthornslip/common';
 
 import type { LinkBudget } from './LinkBudget';
 import type { LinkBudgetSettings } from './LinkBudgetSettings';
 import { LARGE_BODY_RESERVED_SHARE, reservedShares } from './reservedShares';
 
-const MILLISECONDS_PER_SECOND = 1_000;
-
 /**
  * Creates the budget of one region pair as a token bucket of bytes. Calls that turn out larger than expected overdraw
  * the bucket, and later calls are refused until it is refilled.
@@ -17,15 +16,8 @@
  */
 export function createLinkBudget(clock: Clock, settings: LinkBudgetSettings): LinkBudget {
   const { bytesPerSecond, burstBytes, largeBodyBytes } = settings;
-  let availableBytes = burstBytes;
-  let refilledAt = clock.monotonicMilliseconds();
-
-  const refill = (): void => {
-    const now = clock.monotonicMilliseconds();
-    const gainedBytes = ((now - refilledAt) * bytesPerSecond) / MILLISECONDS_PER_SECOND;
-    availableBytes = Math.min(burstBytes, availableBytes + gainedBytes);
-    refilledAt = now;
-  };
+  const rate = { tokensPerSecond: bytesPerSecond, capacity: burstBytes };
+  const bucket = createTokenBucket(clock, () => rate, burstBytes);
 
   const reservedBytes = (bodyBytes: number, priority: Priority): number => {
     const share = reservedShares[priority];
@@ -35,14 +27,10 @@
 
   return {
     tryTake: (bytes, bodyBytes, priority) => {
-      refill();
-      if (availableBytes - bytes < reservedBytes(bodyBytes, priority)) return false;
-      availableBytes -= bytes;
+      if (bucket.available() - bytes < reservedBytes(bodyBytes, priority)) return false;
+      bucket.take(bytes);
       return true;
     },
-    reconcile: (takenBytes, transferredBytes) => {
-      refill();
-      availableBytes = Math.min(burstBytes, availableBytes + takenBytes - transferredBytes);
-    },
+    reconcile: (takenBytes, transferredBytes) => bucket.take(transferredBytes - takenBytes),
   };
 }
--- a/packages/telemetry/src/lib/logging/createBoundedWriter.ts
+++ b/packages/telemetry/src/lib/logging/createBoundedWriter.ts
@@ -1,4 +1,5 @@
-import type { Clock } from '@buckthornslip/common';
+import type { Clock, TokenBucket } from '@buckthornslip/common';
+import { createTokenBucket } from '@buckthornslip/common';
 
 /**
  * Writes log lines in batches without blocking, and drops lines above a rate limit.
@@ -35,22 +36,9 @@
 
 const OTHER_LINES: LineLimit = { linesPerSecond: 100, burst: 1_000 };
 
-const MILLISECONDS_PER_SECOND = 1_000;
-
-/** @returns A function that takes one line from the budget, and returns whether there was one. */
-function createLineBudget(clock: Clock, { burst, linesPerSecond }: LineLimit): () => boolean {
-  let lines = burst;
-  let updatedMilliseconds = clock.monotonicMilliseconds();
-  return () => {
-    const now = clock.monotonicMilliseconds();
-    const elapsedSeconds = (now - updatedMilliseconds) / MILLISECONDS_PER_SECOND;
-    lines = Math.min(burst, lines + elapsedSeconds * linesPerSecond);
-    updatedMilliseconds = now;
-    if (lines < 1) return false;
-    lines -= 1;
-    return true;
-  };
-}
+/** @returns A full bucket of lines. */
+const createLineBucket = (clock: Clock, { burst, linesPerSecond }: LineLimit): TokenBucket =>
+  createTokenBucket(clock, () => ({ tokensPerSecond: linesPerSecond, capacity: burst }), burst);
 
 /**
  * Creates a bounded writer.
@@ -62,8 +50,8 @@
  */
 export function createBoundedWriter(clock: Clock, output: (text: string) => void): BoundedWriter {
   let pending: string[] = [];
-  const callBudget = createLineBudget(clock, CALL_LINES);
-  const otherBudget = createLineBudget(clock, OTHER_LINES);
+  const callLines = createLineBucket(clock, CALL_LINES);
+  const otherLines = createLineBucket(clock, OTHER_LINES);
   let dropped = 0;
   let isScheduled = false;
   let reportDropped: ((count: number) => void) | undefined;
@@ -85,11 +73,12 @@
 
   return {
     write: (line, isPerCall) => {
-      const spend = isPerCall ? callBudget : otherBudget;
-      if (!spend()) {
+      const lines = isPerCall ? callLines : otherLines;
+      if (lines.available() < 1) {
         dropped += 1;
         return;
       }
+      lines.take(1);
       if (dropped > 0) {
         const count = dropped;
         dropped = 0;
