sidecar: the head of an upstream's response is read once

createCallServer decoded the headers of each response three times: to check the request id, to decide whether the connection is kept, and for the answer. The first reading is handed on now.

--- a/packages/sidecar/src/lib/serving/createCallServer.ts
+++ b/packages/sidecar/src/lib/serving/createCallServer.ts
@@ -14,6 +14,7 @@
 import { priorityOfRank } from '../policy/priorityOfRank';
 import type { CallProtocol } from '../protocol/CallProtocol';
 import { isNotRunStatus } from '../protocol/isNotRunStatus';
+import type { ResponseHead } from '../protocol/ResponseHead';
 import type { RepeatLimit } from './createRepeatLimit';
 import { isSameStart } from './isSameStart';
 import type { RunningCalls } from './createRunningCalls';
@@ -96,10 +97,10 @@
   const toResponse = (
     view: UpstreamView,
     result: Exclude<ExchangeResult, { kind: 'failed' }>,
+    head: ResponseHead,
   ): UpstreamResponse | Refusal => {
     const { response } = result;
     const status = response.statusCode as number;
-    const head = protocol.readResponse(response.headers);
     const current = upstream.current()?.instance;
     const isCurrent = current !== undefined && isSameStart(current, view.instance);
     if (isCurrent && (head.isSigned || head.isNotRun)) {
@@ -140,9 +141,10 @@
     call: CallAttempt,
     view: UpstreamView,
     result: ExchangeResult,
+    head: ResponseHead | undefined,
   ): UpstreamResponse | Refusal => {
     if (result.kind !== 'failed') {
-      const answer = toResponse(view, result);
+      const answer = toResponse(view, result, head as ResponseHead);
       // The rest of a withheld answer is not read.
       if (answer.kind === 'refusal' && result.kind === 'stream') result.response.destroy();
       return answer;
@@ -182,6 +184,7 @@
       permit.release('failed');
       throw error;
     };
+    let head: ResponseHead | undefined;
     const result = await exchange({
       pool: poolOf(view.instance.address),
       method: call.method,
@@ -189,13 +192,15 @@
       headers: [...call.headers, ...added],
       body: call.body,
       scope: call.scope,
-      isExpectedResponse: (response) =>
-        protocol.readResponse(response.headers).requestId === requestId,
-      retiresConnection: (response) => protocol.readResponse(response.headers).isNotRun,
+      isExpectedResponse: (response) => {
+        head = protocol.readResponse(response.headers);
+        return head.requestId === requestId;
+      },
+      retiresConnection: () => head?.isNotRun === true,
     })
       .catch(release)
       .finally(tracked.end);
-    const answer = toAnswer(call, view, result);
+    const answer = toAnswer(call, view, result, head);
     const outcome = permitOutcome(result, answer);
     if (answer.kind === 'answer' && answer.rest)
       answer.rest.once('close', () => permit.release(outcome));
