limits: a rate is exceeded only if a token server lacked tokens for the call

Callers got 429 account-rate although their account was far below its rate (repeatedRequest.test.ts, 12 at once on two cores: a refusal of four calls within 400 a second and a burst of 800). Cause: any answer of a token server after a call's arrival counted as proof, also a grant that had been requested before and went to earlier calls. Now only an answer with fewer tokens than its request counted waiting calls does, and only for calls that arrived before that request.

createAccountLimiter.test.ts, 'a grant for an earlier call is no exceeded rate': account-rate before, limit-unavailable after; a second test keeps the answer 429 where tokens are really short.

--- a/packages/limits/src/lib/entry/createAccountLimiter.test.ts
+++ b/packages/limits/src/lib/entry/createAccountLimiter.test.ts
@@ -191,6 +191,32 @@
   test.match(await result, { ok: false, error: { kind: 'limit-unavailable' } });
 });
 
+// Guards against telling callers that their account is over its rate because an earlier call got the only token requested.
+void t.test('a grant for an earlier call is no exceeded rate', async (test) => {
+  const { clock, limiter } = await createFixture(
+    (_, count) => (count === 1 ? granted(1, 1) : 'unreachable'),
+    20,
+  );
+  const first = limiter.spend(ACCOUNT);
+  await clock.advance(10);
+  const second = limiter.spend(ACCOUNT);
+  await clock.advance(3_000);
+  test.ok((await first).ok);
+  test.match(await second, { ok: false, error: { kind: 'limit-unavailable' } });
+});
+
+// Guards against an exceeded rate that is reported as a failure of the token server because it granted some tokens.
+void t.test('a grant of fewer tokens than calls wait is an exceeded rate', async (test) => {
+  const { clock, limiter } = await createFixture((_, count) =>
+    count === 1 ? granted(1, 1) : { kind: 'empty', retryAfterMilliseconds: 80 },
+  );
+  const results = [limiter.spend(ACCOUNT), limiter.spend(ACCOUNT)];
+  await clock.advance(3_000);
+  const [first, second] = await Promise.all(results);
+  test.ok(first?.ok);
+  test.match(second, { ok: false, error: { kind: 'account-rate' } });
+});
+
 // Guards against refusing calls while the accounts of a stopping token server move to another one.
 void t.test('calls wait for a token server that is briefly unreachable', async (test) => {
   const fixture: Fixture = await createFixture((_, count) => {
--- a/packages/limits/src/lib/entry/createSingleAccountLimiter.ts
+++ b/packages/limits/src/lib/entry/createSingleAccountLimiter.ts
@@ -6,6 +6,8 @@
 import { createAccountTokens } from './createAccountTokens';
 import { createDemandEstimate } from './createDemandEstimate';
 import { createWaitQueue } from './createWaitQueue';
+import type { GrantRequest } from '../messages/GrantRequest';
+import type { GrantResponse } from '../messages/GrantResponse';
 import type { LimitRefusal } from './LimitRefusal';
 import { prefetchHorizon } from './prefetchHorizon';
 import type { AnsweredRequest, TokenServerAnswer, TokenServerClient } from './TokenServerClient';
@@ -59,6 +61,11 @@
   readonly spend: (signal?: AbortSignal) => Promise<Result<void, LimitRefusal>>;
 }
 
+function isShort(request: GrantRequest, response: GrantResponse): boolean {
+  if (response.kind === 'empty') return true;
+  return response.kind === 'granted' && response.tokens < request.needed;
+}
+
 /**
  * @param options - Options of the account limiter.
  * @param account - The account.
@@ -82,8 +89,8 @@
   let nextPrefetch = 0;
   let needed = 0;
   let unreportedDemand = 0;
-  /** Time of the last answer of a token server. */
-  let lastAnswerMilliseconds = -Infinity;
+  /** Send time of the last request that a token server answered with fewer tokens than calls were waiting for. */
+  let lastShortRequestMilliseconds = -Infinity;
   let cancelTimer: (() => void) | undefined;
   let timerDue = Infinity;
 
@@ -106,6 +113,7 @@
     tokens.acknowledge(request.reports);
     // Only the responsible token server tracks demand.
     if (response.kind !== 'other-region') unreportedDemand -= request.demand;
+    if (isShort(request, response)) lastShortRequestMilliseconds = sentMilliseconds;
     if (response.kind !== 'granted') return;
     tokens.add({
       partition: request.partition,
@@ -145,7 +153,6 @@
       onAnswer,
     );
     isRequesting = false;
-    if (answer.kind !== 'unavailable') lastAnswerMilliseconds = now();
     const interval = intervalAfter(answer);
     // An empty answer to a prefetch does not delay requests for calls that wait.
     const isBackoffNeeded = needed > 0 || answer.kind === 'unavailable';
@@ -188,9 +195,9 @@
     });
   }
 
-  /** Only a token server can tell that an account is over its rate. */
+  /** Only a token server can tell that an account is over its rate, and only of calls that its request counted. */
   const isOverRate = (sinceMilliseconds: number): boolean =>
-    lastAnswerMilliseconds >= sinceMilliseconds;
+    lastShortRequestMilliseconds >= sinceMilliseconds;
 
   const refusal = (sinceMilliseconds: number): LimitRefusal => ({
     kind: isOverRate(sinceMilliseconds) ? 'account-rate' : 'limit-unavailable',
