--- a/packages/sidecar/src/lib/directory/createMemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/createMemberDirectory.ts
@@ -2,16 +2,18 @@
 import type { Member, MemberDeparture } from '@buckthornslip/membership';
 import type { Store, StoreRevision } from '@buckthornslip/platform';
 import type { EventLogger } from '@buckthornslip/telemetry';
-import { filter, first, firstValueFrom, merge, timeout, catchError, of } from 'rxjs';
+import { first, firstValueFrom, merge } from 'rxjs';
 
 import type { PolicyAnnouncement } from '../policy/createPolicyFetcher';
 import type { Changes } from './createChangeBatch';
 import { createChangeBatch } from './createChangeBatch';
+import { createExchangePartners } from './createExchangePartners';
 import { createMemberTable } from './createMemberTable';
 import { createNodeRegistration } from './createNodeRegistration';
 import type { RecordListing } from './createRecordReader';
 import { createRecordReader, recordKey } from './createRecordReader';
 import { createRelayDuty } from './createRelayDuty';
+import { createRemovedMembers } from './createRemovedMembers';
 import { createZoneRelays } from './createZoneRelays';
 import type { DirectoryMessage } from './DirectoryMessage';
 import type { DirectoryPeers } from './DirectoryPeers';
@@ -20,6 +22,7 @@
 import type { MemberDirectory } from './MemberDirectory';
 import { encodeRecord } from './memberRecord';
 import { memoizeByRevision } from './memoizeByRevision';
+import { waitForUsableMembers } from './waitForUsableMembers';
 
 /** Dependencies and settings of the directory. */
 export interface MemberDirectoryOptions {
@@ -47,9 +50,6 @@
 /** Consecutive failed exchanges after which a node is considered dead. A single one may be lost with its connection. */
 const FAILURES_UNTIL_DEAD = 2;
 
-/** Removed nodes that are remembered, so that older tables of other nodes do not restore them. */
-const REMEMBERED_REMOVALS = 512;
-
 function pick(members: readonly Member[], index: number): Member | undefined {
   return members[index % Math.max(1, members.length)];
 }
@@ -73,7 +73,7 @@
   const records = createRecordReader({ clock, store, logger });
   const failures = new Map<HostId, number>();
   const lastSeen = new Map<HostId, number>();
-  const removed = new Map<HostId, Member>();
+  const removed = createRemovedMembers();
   const probing = new Set<HostId>();
   let { self } = options;
   let resolveInformed = (): void => undefined;
@@ -171,11 +171,6 @@
     void changeSelf({ incarnation });
   };
 
-  const wasRemoved = (member: Member): boolean => {
-    const known = removed.get(member.host);
-    return known !== undefined && !isNewerRecord(member, known);
-  };
-
   const applyRecord = (member: Member, source: string, passesOn: boolean): void => {
     if (isSelf(member)) {
       if (member.departure && member.incarnation !== self.incarnation) {
@@ -185,10 +180,10 @@
       return;
     }
     const isFirstHand = source === 'itself';
-    if (!isFirstHand && source !== 'store' && wasRemoved(member)) return;
+    if (!isFirstHand && source !== 'store' && removed.includes(member)) return;
     const known = table.get(member.host);
     if (!table.merge(member)) return;
-    removed.delete(member.host);
+    removed.forget(member.host);
     lastSeen.set(member.host, clock.monotonicMilliseconds());
     if (passesOn) changes.add(member, isFirstHand && isInZone(member) ? 'all-zones' : 'zone');
     if (known?.state === member.state && known.incarnation === member.incarnation) return;
@@ -292,9 +287,7 @@
   const remove = (member: Member, cause: string): void => {
     const { host, incarnation } = member;
     table.remove(host);
-    removed.set(host, member);
-    const oldest = removed.keys().next().value;
-    if (removed.size > REMEMBERED_REMOVALS && oldest !== undefined) removed.delete(oldest);
+    removed.add(member);
     logger.log('memberForgotten', { host, incarnation, cause });
   };
 
@@ -360,27 +353,15 @@
     },
   });
 
-  const pickRandom = (members: readonly Member[]): Member | undefined =>
-    members[random.nextInteger(Math.max(1, members.length))];
-
-  /**
-   * A node that restarted during a store outage knows no other node, so the others contact it, even if it had left
-   * gracefully before. Each zone cares for its own nodes, and its relays for all.
-   */
-  const pickDeparted = (): Member | undefined =>
-    pickRandom(
-      others().filter(
-        (member) => (!member.alive || member.state === 'left') && (isRelay() || isInZone(member)),
-      ),
-    );
-
-  /** Partners of one round of exchanges. */
-  const pickPartners = (): readonly (Member | undefined)[] => {
-    const own = isRelay() ? pickRandom(zonePeers()) : pick(otherRelays(), rounds);
-    const remote = isRelay() && rounds % 2 === 0 ? pickRandom(remoteRelays()) : undefined;
-    const departed = rounds % 2 === 1 ? pickDeparted() : undefined;
-    return [own ?? pickRandom(livePeers()), remote, departed];
-  };
+  const partnersOf = createExchangePartners(random, {
+    isRelay,
+    isInZone,
+    others,
+    livePeers,
+    zonePeers,
+    otherRelays,
+    remoteRelays,
+  });
 
   const storeReadRounds = Math.round(
     directoryTimes.storeReadInterval / directoryTimes.exchangeInterval,
@@ -390,8 +371,8 @@
     while (!isClosed) {
       await clock.sleep(directoryTimes.exchangeInterval * (0.75 + random.next() / 2));
       rounds += 1;
-      pickPartners().forEach((member) => {
-        if (member) void probe(member.host);
+      partnersOf(rounds).forEach(({ host }) => {
+        void probe(host);
       });
       if (isRelay() && rounds % storeReadRounds === 0) void readAllZones();
     }
@@ -406,24 +387,12 @@
     return known.departure !== undefined && known.incarnation !== from.incarnation;
   };
 
-  const isUsable = (members: readonly Member[]): boolean =>
-    members.some(({ alive, state }) => alive && state === 'ready');
-
   return {
     self: () => self,
     members: table.ofService,
     changes: table.changes,
-    waitForMembers: (service, timeoutMilliseconds) => {
-      const known = table.ofService(service);
-      if (isUsable(known)) return Promise.resolve(known);
-      return firstValueFrom(
-        table.changes(service).pipe(
-          filter(isUsable),
-          timeout(timeoutMilliseconds),
-          catchError(() => of(table.ofService(service))),
-        ),
-      );
-    },
+    waitForMembers: (service, timeoutMilliseconds) =>
+      waitForUsableMembers(table, service, timeoutMilliseconds),
     suspect: (host) => {
       void probe(host);
     },
