sidecar: a restarted node holds back calls until the upstream's first response

Cause: the limit was known only to the earlier process, and until the first response the new one started as many calls as the upstream has slots.

Now at most four calls run until the first response of the upstream that was there when the node started. The first start of a fleet is exempt.

--- a/apps/standins/src/lib/node/createFakeAdmissionController.ts
+++ b/apps/standins/src/lib/node/createFakeAdmissionController.ts
@@ -50,6 +50,7 @@
     // Always undefined, so that every call uses `admit`.
     tryAdmit: () => undefined,
     setRateLimit: () => undefined,
+    setMaximumRunning: () => undefined,
     setCapacity: (announced) => {
       capacity = announced;
       startNext();
--- a/packages/admission/src/lib/controller/AdmissionController.ts
+++ b/packages/admission/src/lib/controller/AdmissionController.ts
@@ -44,6 +44,13 @@
    */
   readonly setRateLimit: (perSecond: number | undefined) => void;
 
+  /**
+   * Limits the calls that run at once, in addition to the announced slots.
+   *
+   * @param calls - Number of calls; Infinity for no limit.
+   */
+  readonly setMaximumRunning: (calls: number) => void;
+
   /** @returns Current load, as reported to callers with each answer. */
   readonly load: () => AdmissionLoad;
 }
--- a/packages/admission/src/lib/controller/createAdmissionController.ts
+++ b/packages/admission/src/lib/controller/createAdmissionController.ts
@@ -67,6 +67,7 @@
   const queue = createPriorityQueue(() => options.queueCapacity ?? DEFAULT_QUEUE_CAPACITY);
   const waiting = new Set<QueuedCall>();
   let capacity = UNANNOUNCED;
+  let maximumRunning = Infinity;
   let cancelRateTimer: (() => void) | undefined;
 
   /** Service times of request classes differ by an order of magnitude, so each class has its own estimate. */
@@ -79,7 +80,8 @@
     return created;
   };
 
-  const currentLimit = (): number => (capacity.state === 'ready' ? limit.current() : 0);
+  const currentLimit = (): number =>
+    capacity.state === 'ready' ? Math.min(limit.current(), maximumRunning) : 0;
   const isLeaving = (): boolean => capacity.state === 'draining' || capacity.state === 'left';
 
   const settle = (call: QueuedCall, result: Admission): void => {
@@ -256,6 +258,10 @@
       startRate.setLimit(perSecond);
       startQueuedCalls();
     },
+    setMaximumRunning: (calls) => {
+      maximumRunning = calls;
+      startQueuedCalls();
+    },
     load: () => ({
       running: slots.running(),
       queued: queue.size(),
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -159,7 +159,12 @@
     return (await links.get(address).exchange(fields))?.policy;
   }
 
-  const statedLimit = createStatedLimit({ logger, setLimit: admission.setRateLimit });
+  const statedLimit = createStatedLimit({
+    logger,
+    isFirstStart: options.isFirstStart,
+    setMaximumRunning: admission.setMaximumRunning,
+    setRateLimit: admission.setRateLimit,
+  });
   const onUpstreamChange = ({ instance, state }: UpstreamView): void => {
     statedLimit.startInstance(instance);
     const { coldStartMilliseconds, slots } = instance;
--- a/packages/sidecar/src/lib/serving/createStatedLimit.ts
+++ b/packages/sidecar/src/lib/serving/createStatedLimit.ts
@@ -7,11 +7,21 @@
 /** Relative change of a limit from which it is logged. */
 const LOGGED_CHANGE = 0.1;
 
+/**
+ * Calls that run at once until the first response of an upstream that may have stated a limit to an earlier process of this
+ * node. An upstream that takes one call a second is sent at most eleven in four seconds, including those before the restart.
+ */
+const MAXIMUM_RUNNING_UNHEARD = 4;
+
 /** Dependencies of the stated limit. */
 interface StatedLimitOptions {
   readonly logger: EventLogger;
+  /** Whether no earlier process of this node can have heard a limit. */
+  readonly isFirstStart: boolean;
+  /** @param calls - Calls that may run at once; Infinity for no limit. */
+  readonly setMaximumRunning: (calls: number) => void;
   /** @param perSecond - Calls per second; undefined for no limit. */
-  readonly setLimit: (perSecond: number | undefined) => void;
+  readonly setRateLimit: (perSecond: number | undefined) => void;
 }
 
 /** The limit of calls per second that the local upstream states in its responses. */
@@ -21,7 +31,7 @@
     instance: UpstreamInstance,
     head: Pick<ResponseHead, 'limitPerSecond' | 'requestId'>,
   ) => void;
-  /** Ends the limit of an earlier upstream. */
+  /** Ends the limit of an earlier upstream; of the first one after a restart of this node, the limit is not known. */
   readonly startInstance: (instance: UpstreamInstance) => void;
 }
 
@@ -32,9 +42,11 @@
  * @returns A stated limit of which nothing is known.
  * @internal
  */
-export function createStatedLimit({ logger, setLimit }: StatedLimitOptions): StatedLimit {
+export function createStatedLimit(options: StatedLimitOptions): StatedLimit {
+  const { isFirstStart, logger, setMaximumRunning, setRateLimit } = options;
   let current: number | undefined;
-  let limited: UpstreamInstance | undefined;
+  let known: UpstreamInstance | undefined;
+  let isHeldBack = false;
   let logged: number | undefined;
 
   const isLogged = (next: number | undefined): boolean => {
@@ -42,11 +54,19 @@
     return Math.abs(next - logged) > LOGGED_CHANGE * logged;
   };
 
+  const setHeldBack = (next: boolean): void => {
+    if (next === isHeldBack) return;
+    isHeldBack = next;
+    setMaximumRunning(next ? MAXIMUM_RUNNING_UNHEARD : Infinity);
+  };
+
   const record: StatedLimit['record'] = (instance, { limitPerSecond, requestId }) => {
-    limited = instance;
-    if (limitPerSecond === current) return;
-    current = limitPerSecond;
-    setLimit(limitPerSecond);
+    known = instance;
+    if (limitPerSecond !== current) {
+      current = limitPerSecond;
+      setRateLimit(limitPerSecond);
+    }
+    setHeldBack(false);
     if (!isLogged(limitPerSecond)) return;
     const previous = logged;
     logged = limitPerSecond;
@@ -62,8 +82,13 @@
   return {
     record,
     startInstance: (instance) => {
-      if (!limited || isSameStart(instance, limited)) return;
-      record(instance, { limitPerSecond: undefined, requestId: undefined });
+      if (known) {
+        if (!isSameStart(instance, known))
+          record(instance, { limitPerSecond: undefined, requestId: undefined });
+      } else if (!isFirstStart) {
+        known = instance;
+        setHeldBack(true);
+      }
     },
   };
 }
