Review: a departure that a started node acknowledged is forgotten (case 5)

Promise: DRAIN, no request later than drain after an acknowledged leaving. Disruption: the node beside the backend is killed and started again before the backend deregisters; a heartbeat from before arrives late.

--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -75,6 +75,7 @@
     { service: 'front', run: serve },
     { service: 'settlement', run: serve },
     { service: 'settlement', run: serve },
+    { service: 'front', run: serve },
   ],
   configuration: createConfiguration({
     routes: [{ ...route, service: 'settlement' }],
