--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -128,6 +128,11 @@
         network.setCut(number, isCut);
         path.setCut(isCut);
       },
+      /** Lets the store turn the machine away: its connections to the store are reset. */
+      setTurnedAway: (isTurnedAway) => {
+        record(`the store ${isTurnedAway ? 'turns away' : 'serves'} ${name}`);
+        path.setCut(isTurnedAway);
+      },
       stop: async () => {
         isWanted = false;
         backend.end();
