--- a/packages/sidecar/src/lib/channel/channelTimes.ts
+++ b/packages/sidecar/src/lib/channel/channelTimes.ts
@@ -10,8 +10,10 @@
   receiveTimeout: 1_200,
   /** Delay before the next attempt to reconnect and resume calls that must not run twice. */
   resumeDelay: 300,
-  /** Time for which calls continue after their connection was lost, so that the other node can resume them. */
+  /** Time for which calls continue after their connection was lost. The other node can still resume them later. */
   orphanTimeout: 2_000,
+  /** Time after which a session without a connection is forgotten, with its answers. */
+  sessionRetention: 10_000,
   /** Time for which an answer is retained after it was sent. */
   answerRetention: 5_000,
   /** Timeout of a directory exchange. */
--- a/packages/sidecar/src/lib/channel/createLinkConnector.ts
+++ b/packages/sidecar/src/lib/channel/createLinkConnector.ts
@@ -14,6 +14,8 @@
   readonly frames: FrameConnection;
   /** Incarnation of the other node. */
   readonly incarnation: number;
+  /** Number of the session at the other node that this connection continues. */
+  readonly session: number;
 }
 
 /** Opens the connection of a link, and opens a new one on demand after it was lost. */
@@ -31,6 +33,9 @@
   readonly onLost: () => void;
 }
 
+/** Session in the hello of the node that opens the connection; the other node assigns the number. */
+const NO_SESSION = 0;
+
 function openSocket(address: string): Socket {
   return connectSocket(splitAddress(address));
 }
@@ -64,7 +69,8 @@
         }
         stopTimer?.();
         opening = undefined;
-        open = { frames, incarnation: frame.value.incarnation };
+        const { incarnation, session } = frame.value;
+        open = { frames, incarnation, session };
         resolve(open);
       };
       const onClose = (frames: FrameConnection): void => {
@@ -83,7 +89,8 @@
       const frames = createFrameConnection(clock, socket, { onFrame, onError, onClose });
       closeCurrent = frames.destroy;
       stopTimer = clock.setTimer(channelTimes.connectTimeout, frames.destroy);
-      frames.send({ $case: 'hello', value: { host: self.host, incarnation: self.incarnation } });
+      const { host, incarnation } = self;
+      frames.send({ $case: 'hello', value: { host, incarnation, session: NO_SESSION } });
     });
 
   return {
--- a/packages/sidecar/src/lib/channel/createPeerLink.test.ts
+++ b/packages/sidecar/src/lib/channel/createPeerLink.test.ts
@@ -4,8 +4,8 @@
 import { text } from 'node:stream/consumers';
 
 import { createCallScope, refuse } from '@buckthornslip/calls';
-import type { HostId, Incarnation, ServiceId } from '@buckthornslip/common';
-import { createSystemClock } from '@buckthornslip/common';
+import type { Clock, HostId, Incarnation, ServiceId } from '@buckthornslip/common';
+import { createFakeClock, createSystemClock } from '@buckthornslip/common';
 import { createSilentLogger } from '@buckthornslip/telemetry';
 import t from 'tap';
 
@@ -33,6 +33,8 @@
   readonly stopForwarding: () => void;
   /** Refuses further connections. */
   readonly refuse: () => void;
+  /** Accepts connections again after they were refused. */
+  readonly accept: () => void;
   readonly close: () => void;
 }
 
@@ -73,6 +75,7 @@
       });
     },
     refuse: () => server.close(),
+    accept: () => server.listen(Number(address.split(':')[1]), '127.0.0.1'),
     close: () => {
       server.close();
       reset();
@@ -80,10 +83,14 @@
   };
 }
 
-async function startNode(incarnation: Incarnation, serve: PeerHandlers['serve']) {
+async function startNode(
+  incarnation: Incarnation,
+  serve: PeerHandlers['serve'],
+  sessionClock: Clock = clock,
+) {
   const self = { host: 'serving' as HostId, incarnation };
   const listener = createPeerListener(
-    { clock, logger: createSilentLogger(), self },
+    { clock: sessionClock, logger: createSilentLogger(), self },
     {
       serve,
       grant: async () => ({ tokens: 1, retryAfterMilliseconds: 0 }),
@@ -191,6 +198,94 @@
   node.close();
 });
 
+// Guards against work that has run and is then reported as not run, so that it runs again at another node, after the
+// nodes were cut off from each other for longer than calls are continued for a lost connection.
+void t.test('the answer of a call survives a cut of three seconds', async (test) => {
+  let runs = 0;
+  const node = await startNode(FIRST, async () => {
+    runs += 1;
+    await clock.sleep(300);
+    return answerOf('answer');
+  });
+  const relay = await createRelay(() => node.address);
+  const link = openLink(relay.address);
+  const calling = link.call(callOf());
+  await clock.sleep(100);
+  relay.refuse();
+  relay.reset();
+  await clock.sleep(3_000);
+  relay.accept();
+  const { answer } = await calling;
+  test.equal(answer.kind === 'answer' && answer.body.toString(), 'answer');
+  test.equal(runs, 1);
+  link.close();
+  relay.close();
+  node.close();
+});
+
+// Guards against a call that runs twice because the serving node takes a call of a forgotten session for one that it has
+// not received.
+void t.test('calls of a forgotten session may have run', async (test) => {
+  const sessionClock = createFakeClock();
+  let runs = 0;
+  const node = await startNode(
+    FIRST,
+    async () => {
+      runs += 1;
+      await clock.sleep(100);
+      return answerOf('answer');
+    },
+    sessionClock,
+  );
+  const relay = await createRelay(() => node.address);
+  const link = openLink(relay.address);
+  const calls = [link.call(callOf()), link.call(callOf())];
+  await clock.sleep(50);
+  relay.refuse();
+  relay.reset();
+  await clock.sleep(200);
+  await sessionClock.advance(60_000);
+  relay.accept();
+  const results = await Promise.all(calls);
+  test.strictSame(
+    results.map(({ answer }) => answer.kind === 'refusal' && [answer.reason, answer.outcome]),
+    [
+      ['peer-unreachable', 'may-have-run'],
+      ['peer-unreachable', 'may-have-run'],
+    ],
+  );
+  test.equal(runs, 2);
+  link.close();
+  relay.close();
+  node.close();
+});
+
+// Guards against a caller that is told that it has left, and against "not run" for a call that was started, when the
+// serving node cancels the calls of a lost connection.
+void t.test('a call that is cancelled during a cut may have run', async (test) => {
+  const node = await startNode(FIRST, async ({ scope }) => {
+    await new Promise<void>((resolve) => {
+      scope.onCancel(resolve);
+    });
+    return {
+      answer: refuse(scope.cancelReason() ?? 'caller-gone', 'may-have-run'),
+      load: undefined,
+    };
+  });
+  const relay = await createRelay(() => node.address);
+  const link = openLink(relay.address);
+  const calling = link.call(callOf({}, 10_000));
+  await clock.sleep(100);
+  relay.refuse();
+  relay.reset();
+  await clock.sleep(2_500);
+  relay.accept();
+  test.match((await calling).answer, { reason: 'peer-unreachable', outcome: 'may-have-run' });
+  link.close();
+  relay.close();
+  node.close();
+});
+
 // Guards against closing a connection as unresponsive because it was idle before the call.
 void t.test('a call after an idle period reuses its connection', async (test) => {
   const node = await startNode(FIRST, async () => {
--- a/packages/sidecar/src/lib/channel/createPeerLink.ts
+++ b/packages/sidecar/src/lib/channel/createPeerLink.ts
@@ -22,8 +22,8 @@
 /** A call without a complete answer. */
 interface PendingCall {
   readonly call: CallAttempt;
-  /** Incarnation of the node to which it was sent. */
-  readonly incarnation: number;
+  /** Connection on which it was sent. */
+  readonly sentOn: LinkConnection;
   readonly settle: (result: AttemptResult) => void;
   readonly sender: BodySender | undefined;
   receiver: BodyReceiver | undefined;
@@ -33,6 +33,10 @@
   return { answer: refuse(reason, outcome), load: undefined };
 }
 
+function isSameSession(one: LinkConnection, other: LinkConnection): boolean {
+  return one.incarnation === other.incarnation && one.session === other.session;
+}
+
 /**
  * Creates the link to another node, which multiplexes all calls and messages over one connection. When the connection
  * is lost or unresponsive, the link reconnects and requests the pending answers from the same process, so that a lost
@@ -101,13 +105,16 @@
     handlers[frame.$case]?.(frame.value as never);
   }
 
-  /** Fails the calls that can't be resumed: their bodies were being transferred, or their process has ended. */
-  const failUnresumable = (incarnation: number | undefined): void => {
-    calls.forEach((pending, id) => {
-      if (pending.receiver) pending.receiver.fail();
-      const hasEnded = incarnation !== undefined && pending.incarnation !== incarnation;
-      const isUnreachable = incarnation === undefined && pending.call.repeatable;
-      if (pending.sender || hasEnded || isUnreachable) {
+  /**
+   * Fails the calls that can't be resumed: their bodies were being transferred, their process has ended, or it has
+   * forgotten the session and can't tell whether they have run.
+   */
+  const failUnresumable = (connection: LinkConnection | undefined): void => {
+    calls.forEach(({ call, receiver, sender, sentOn }, id) => {
+      receiver?.fail();
+      const isUnknown = connection && !isSameSession(connection, sentOn);
+      const isUnreachable = !connection && call.repeatable;
+      if (sender || isUnknown || isUnreachable) {
         settle(id, refused('peer-unreachable', 'may-have-run'));
       }
     });
@@ -118,7 +125,7 @@
     isResuming = true;
     while (calls.size > 0) {
       const connection = await connector.connect();
-      failUnresumable(connection?.incarnation);
+      failUnresumable(connection);
       if (connection) {
         const { frames, incarnation } = connection;
         calls.forEach((_pending, id) =>
@@ -160,11 +167,9 @@
     stopChecking ??= ticker.add(check);
   };
 
-  const start = (
-    { frames, incarnation }: LinkConnection,
-    call: CallAttempt,
-  ): Promise<AttemptResult> =>
+  const start = (connection: LinkConnection, call: CallAttempt): Promise<AttemptResult> =>
     new Promise((resolve) => {
+      const { frames } = connection;
       const id = nextId;
       nextId += 1;
       const { body, scope } = call;
@@ -186,7 +191,7 @@
         if (rest) scope.onCancel(() => rest.destroy());
         resolve(result);
       };
-      calls.set(id, { call, incarnation, settle: settleCall, sender, receiver: undefined });
+      calls.set(id, { call, sentOn: connection, settle: settleCall, sender, receiver: undefined });
       startChecking();
     });
 
--- a/packages/sidecar/src/lib/channel/createPeerListener.ts
+++ b/packages/sidecar/src/lib/channel/createPeerListener.ts
@@ -42,13 +42,18 @@
 ): PeerListener {
   const { clock, logger, self } = options;
   const sessions = new Map<string, PeerSession>();
+  let lastSession = 0;
   const sockets = new Set<Socket>();
 
   const sessionOf = ({ host, incarnation }: channelMessages.Hello): PeerSession => {
     const key = `${host}/${incarnation}`;
     const known = sessions.get(key);
     if (known) return known;
-    const created = createPeerSession({ clock, logger }, peerHandlers, () => sessions.delete(key));
+    lastSession += 1;
+    const created = createPeerSession({ clock, logger }, peerHandlers, {
+      number: lastSession,
+      onForgotten: () => sessions.delete(key),
+    });
     sessions.set(key, created);
     return created;
   };
@@ -61,7 +66,7 @@
       hello: (hello: channelMessages.Hello, connection) => {
         session = sessionOf(hello);
         session.attach(connection);
-        connection.send({ $case: 'hello', value: self });
+        connection.send({ $case: 'hello', value: { ...self, session: session.number } });
       },
       call: (message: channelMessages.Call) => session?.onCall(message),
       resume: (message: channelMessages.Resume) => session?.onResume(message),
--- a/packages/sidecar/src/lib/channel/createPeerSession.ts
+++ b/packages/sidecar/src/lib/channel/createPeerSession.ts
@@ -23,6 +23,8 @@
   readonly receiver: BodyReceiver | undefined;
   sender: BodySender | undefined;
   result: AttemptResult | undefined;
+  /** Whether it was cancelled because its connection was lost. */
+  isOrphaned: boolean;
 }
 
 /**
@@ -32,6 +34,8 @@
  * @internal
  */
 export interface PeerSession {
+  /** Identifies the session among all that this process has had. */
+  readonly number: number;
   /** Switches to another connection and closes the previous one, from which nothing more is read. */
   readonly attach: (connection: FrameConnection) => void;
   readonly detach: (connection: FrameConnection) => void;
@@ -42,6 +46,13 @@
   readonly onBodyCredit: (message: channelMessages.BodyCredit) => void;
 }
 
+/** Settings of a session. */
+interface PeerSessionSettings {
+  readonly number: number;
+  /** Called when the other node has not reconnected in time. */
+  readonly onForgotten: () => void;
+}
+
 /** Dependencies of a session. */
 interface PeerSessionDependencies {
   readonly clock: Clock;
@@ -52,6 +63,13 @@
   return { answer: refuse('peer-unreachable', outcome), load: undefined };
 }
 
+/** The caller of a call that was cancelled because its connection was lost may still be there. */
+function reportOrphaned(result: AttemptResult): AttemptResult {
+  const { answer } = result;
+  const isCancelled = answer.kind === 'refusal' && answer.reason === 'caller-gone';
+  return isCancelled ? { ...result, answer: refuse('peer-unreachable', answer.outcome) } : result;
+}
+
 /** Result of a call whose handler failed at an unknown point. */
 function failed(): AttemptResult {
   return { answer: refuse('upstream-failed', 'may-have-run'), load: undefined };
@@ -62,21 +80,21 @@
  *
  * @param dependencies - Clock and logger.
  * @param handlers - Handlers of the messages of other nodes.
- * @param onAbandoned - Called when the other node has not reconnected in time.
+ * @param settings - Number of the session and what to do at its end.
  * @returns The session, without a connection.
  * @internal
  */
 export function createPeerSession(
   dependencies: PeerSessionDependencies,
   handlers: PeerHandlers,
-  onAbandoned: () => void,
+  { number, onForgotten }: PeerSessionSettings,
 ): PeerSession {
   const { clock, logger } = dependencies;
   const attempts = new Map<number, Attempt>();
   const retainedAnswers: { readonly id: number; readonly untilMilliseconds: number }[] = [];
   let connection: FrameConnection | undefined;
   let highestId = 0;
-  let stopOrphanTimer: (() => void) | undefined;
+  let stopTimers = (): void => undefined;
 
   const send = (id: number, result: AttemptResult): void => {
     connection?.send({ $case: 'answer', value: toAnswerMessage(id, result) });
@@ -105,7 +123,8 @@
     }
   };
 
-  const finish = (id: number, attempt: Attempt, result: AttemptResult): void => {
+  const finish = (id: number, attempt: Attempt, served: AttemptResult): void => {
+    const result = attempt.isOrphaned ? reportOrphaned(served) : served;
     const rest = result.answer.kind === 'answer' ? result.answer.rest : undefined;
     if (rest) rest.once('close', attempt.scope.end);
     else attempt.scope.end();
@@ -129,26 +148,32 @@
     return { kind: 'stream', stream: receiver.stream, length, head: bytes };
   };
 
-  const abandon = (): void => {
-    attempts.forEach(({ receiver, scope }) => {
-      receiver?.fail();
-      scope.cancel('caller-gone');
+  /** Cancels the running calls. The session remains, so that the other node is told how they ended. */
+  const cancelOrphans = (): void => {
+    attempts.forEach((attempt) => {
+      Object.assign(attempt, { isOrphaned: true });
+      attempt.receiver?.fail();
+      attempt.scope.cancel('caller-gone');
     });
-    onAbandoned();
   };
 
   return {
+    number,
     attach: (next) => {
       const earlier = connection;
       connection = next;
-      stopOrphanTimer?.();
+      stopTimers();
       earlier?.destroy();
     },
     detach: (lost) => {
       if (connection !== lost) return;
       connection = undefined;
       attempts.forEach(({ sender }) => sender?.stop());
-      stopOrphanTimer = clock.setTimer(channelTimes.orphanTimeout, abandon);
+      const timers = [
+        clock.setTimer(channelTimes.orphanTimeout, cancelOrphans),
+        clock.setTimer(channelTimes.sessionRetention, onForgotten),
+      ];
+      stopTimers = () => timers.forEach((stop) => stop());
     },
     onCall: (message) => {
       const { id } = message;
@@ -162,7 +187,13 @@
           )
         : undefined;
       const scope = createCallScope(clock, message.remainingMilliseconds);
-      const attempt: Attempt = { scope, receiver, sender: undefined, result: undefined };
+      const attempt: Attempt = {
+        scope,
+        receiver,
+        sender: undefined,
+        result: undefined,
+        isOrphaned: false,
+      };
       attempts.set(id, attempt);
       const body = bodyOf(message, receiver);
       void handlers
