--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -187,12 +187,15 @@
     logger,
     announcementMilliseconds: options.announcementMilliseconds,
     onChange: onUpstreamChange,
+    onDeparture: (departure) => {
+      // A later process of this node needs it as well, unless another upstream has taken its place.
+      const state = upstream.current()?.state;
+      if (state === undefined || state === 'lost') directory.update({ departure });
+    },
   });
 
   function restoreDeparture(departure: MemberDeparture): void {
     upstream.restoreDeparture(departure);
-    // A further restart needs it as well, unless another upstream has taken its place.
-    if (upstream.current()?.state !== 'ready') directory.update({ departure });
   }
 
   const allowanceOf = (account: AccountId) => policy.current()?.accounts.get(account);
--- a/packages/sidecar/src/lib/serving/UpstreamRegistry.ts
+++ b/packages/sidecar/src/lib/serving/UpstreamRegistry.ts
@@ -19,8 +19,14 @@
   readonly current: () => UpstreamView | undefined;
   /** @returns Whether the announcement was newer than the known state. */
   readonly announce: (instance: UpstreamInstance) => boolean;
-  /** Deregisters the upstream. */
-  readonly leave: (id: UpstreamId) => void;
+  /**
+   * Deregisters an upstream, which need not be known yet: a node that has just started acknowledges the departure of an
+   * upstream whose announcements were sent to an earlier process.
+   *
+   * @param id - The upstream.
+   * @param startedMilliseconds - Wall-clock time of its start, if it is known, in milliseconds.
+   */
+  readonly leave: (id: UpstreamId, startedMilliseconds?: number) => void;
   /** Applies a departure that an earlier process of this node has acknowledged. */
   readonly restoreDeparture: (departure: MemberDeparture) => void;
   /** Marks the upstream as draining for the rest of its life, because a response of it says so. */
--- a/packages/sidecar/src/lib/serving/createUpstreamRegistry.test.ts
+++ b/packages/sidecar/src/lib/serving/createUpstreamRegistry.test.ts
@@ -1,5 +1,6 @@
 import type { ServiceId, UpstreamId } from '@buckthornslip/common';
 import { createFakeClock } from '@buckthornslip/common';
+import type { MemberDeparture } from '@buckthornslip/membership';
 import { createSilentLogger } from '@buckthornslip/telemetry';
 import t from 'tap';
 
@@ -21,13 +22,15 @@
 function createRegistry() {
   const clock = createFakeClock();
   const states: string[] = [];
+  const departures: MemberDeparture[] = [];
   const registry = createUpstreamRegistry({
     clock,
     logger: createSilentLogger(),
     announcementMilliseconds: 1_000,
     onChange: ({ state }) => states.push(state),
+    onDeparture: (departure) => departures.push(departure),
   });
-  return { clock, registry, states };
+  return { clock, departures, registry, states };
 }
 
 // Guards against a late announcement that marks a draining upstream as ready.
@@ -109,3 +112,50 @@
   draining.registry.announce(instance({ startedMilliseconds: 200 }));
   test.equal(draining.registry.current()?.state, 'ready', 'a later start is not affected');
 });
+
+// Guards against a late announcement that puts an upstream in use again whose departure was acknowledged by a node that had
+// just started and did not know the upstream yet.
+void t.test('a departure before the first announcement is binding', async (test) => {
+  const { clock, departures, registry, states } = createRegistry();
+  const id = 'i-1' as UpstreamId;
+  const startedMilliseconds = clock.wallMilliseconds() - 60_000;
+  registry.leave(id);
+  test.match(departures, [{ id, state: 'left' }], 'the other nodes can be told');
+  await clock.advance(2_000);
+  test.notOk(registry.announce(instance({ startedMilliseconds, sequence: 9 })));
+  test.equal(registry.current(), undefined);
+  const restarted = instance({ startedMilliseconds: clock.wallMilliseconds() });
+  test.ok(registry.announce(restarted), 'a later start with the same id is not affected');
+  test.same(states, ['ready']);
+});
+
+// Guards against a late announcement of a departed upstream that replaces the upstream which is in use.
+void t.test('a departure of an upstream that is not in use is binding', async (test) => {
+  const { registry } = createRegistry();
+  const startedMilliseconds = 0;
+  registry.announce(instance({ id: 'i-2' as UpstreamId, startedMilliseconds }));
+  registry.leave('i-1' as UpstreamId);
+  test.notOk(registry.announce(instance({ startedMilliseconds, sequence: 9 })));
+  test.match(registry.current(), { instance: { id: 'i-2' }, state: 'ready' });
+});
+
+// Guards against a late departure of an earlier start that ends the use of an upstream which was restarted with its id.
+void t.test('a departure that names its start does not affect a later start', async (test) => {
+  const { registry } = createRegistry();
+  registry.announce(instance({ startedMilliseconds: 200 }));
+  registry.leave('i-1' as UpstreamId, 100);
+  test.equal(registry.current()?.state, 'ready');
+  test.notOk(registry.announce(instance({ startedMilliseconds: 100, sequence: 9 })));
+  registry.leave('i-1' as UpstreamId, 200);
+  test.equal(registry.current()?.state, 'left');
+});
+
+// Guards against a departure that is forgotten because an earlier process of the node had acknowledged less.
+void t.test('an older departure does not replace a newer one', async (test) => {
+  const { registry } = createRegistry();
+  const id = 'i-1' as UpstreamId;
+  registry.restoreDeparture({ id, startedMilliseconds: 200, state: 'left' });
+  registry.restoreDeparture({ id, startedMilliseconds: 200, state: 'draining' });
+  registry.restoreDeparture({ id, startedMilliseconds: 100, state: 'left' });
+  test.notOk(registry.announce(instance({ startedMilliseconds: 200, sequence: 9 })));
+});
--- a/packages/sidecar/src/lib/serving/createUpstreamRegistry.ts
+++ b/packages/sidecar/src/lib/serving/createUpstreamRegistry.ts
@@ -13,6 +13,8 @@
   readonly announcementMilliseconds: number;
   /** Called after each change. */
   readonly onChange: (view: UpstreamView) => void;
+  /** Called with a departure that changes no view, because the upstream is not the current one. */
+  readonly onDeparture: (departure: MemberDeparture) => void;
 }
 
 /** Intervals without an announcement after which an upstream is lost; announcements may be seconds late. */
@@ -28,6 +30,13 @@
   return instance.id !== known.id || instance.sequence > known.sequence;
 }
 
+function supersedes(departure: MemberDeparture, known: MemberDeparture): boolean {
+  if (departure.startedMilliseconds !== known.startedMilliseconds) {
+    return departure.startedMilliseconds > known.startedMilliseconds;
+  }
+  return departure.state === 'left';
+}
+
 function startOf({ id, startedMilliseconds }: UpstreamInstance) {
   return { id, startedMilliseconds };
 }
@@ -41,7 +50,7 @@
  * @public
  */
 export function createUpstreamRegistry(options: UpstreamRegistryOptions): UpstreamRegistry {
-  const { announcementMilliseconds, clock, logger, onChange } = options;
+  const { announcementMilliseconds, clock, logger, onChange, onDeparture } = options;
   const departures = new Map<UpstreamId, MemberDeparture>();
   let view: UpstreamView | undefined;
   let stopTimer: (() => void) | undefined;
@@ -77,6 +86,8 @@
   };
 
   const rememberDeparture = (departure: MemberDeparture): void => {
+    const known = departures.get(departure.id);
+    if (known && !supersedes(departure, known)) return;
     departures.set(departure.id, departure);
     const oldest = departures.keys().next().value;
     if (departures.size > REMEMBERED_DEPARTURES && oldest !== undefined) departures.delete(oldest);
@@ -91,6 +102,14 @@
     return known && known.startedMilliseconds >= startedMilliseconds ? known : undefined;
   };
 
+  /** Remembers a departure and applies it to the current upstream, if it is the one that departs. */
+  const depart = (departure: MemberDeparture, cause: string): void => {
+    rememberDeparture(departure);
+    const known = view?.instance.id === departure.id ? departureOf(view.instance) : undefined;
+    if (view && known) setView({ ...view, state: known.state }, cause);
+    else onDeparture(departure);
+  };
+
   return {
     current: () => view,
     announce: (instance) => {
@@ -104,17 +123,15 @@
       restartAnnouncementTimer();
       return true;
     },
-    leave: (id) => {
-      if (view?.instance.id !== id) return;
-      rememberDeparture({ ...startOf(view.instance), state: 'left' });
-      setView({ ...view, state: 'left' }, 'departure');
-    },
-    restoreDeparture: (departure) => {
-      rememberDeparture(departure);
-      const isCurrent = view && departureOf(view.instance) === departure;
-      if (!view || !isCurrent) return;
-      setView({ ...view, state: departure.state }, 'departure before the restart of this node');
+    leave: (id, startedMilliseconds) => {
+      const current = view?.instance.id === id ? view.instance.startedMilliseconds : undefined;
+      // The start of an upstream that has not been announced is unknown, but it was before the departure. The node and
+      // its upstream share a clock.
+      const started = startedMilliseconds ?? current ?? clock.wallMilliseconds();
+      logger.log('upstreamDeparted', { upstream: id, startedMilliseconds: started });
+      depart({ id, startedMilliseconds: started, state: 'left' }, 'departure');
     },
+    restoreDeparture: (departure) => depart(departure, 'departure before the restart of this node'),
     markLeaving: () => {
       if (!view || view.state === 'draining' || view.state === 'left') return;
       rememberDeparture({ ...startOf(view.instance), state: 'draining' });
--- a/packages/telemetry/src/lib/events/sidecarEvents.ts
+++ b/packages/telemetry/src/lib/events/sidecarEvents.ts
@@ -63,6 +63,7 @@
     perCall: true,
   },
   upstreamStateChanged: { number: 7100, level: 'info', message: 'upstream changed its state' },
+  upstreamDeparted: { number: 7104, level: 'info', message: 'departure of an upstream received' },
   upstreamLimitChanged: {
     number: 7102,
     level: 'info',
