--- a/packages/sidecar/src/lib/http/exchange.test.ts
+++ b/packages/sidecar/src/lib/http/exchange.test.ts
@@ -5,6 +5,7 @@
 import { createSystemClock } from '@buckthornslip/common';
 import t from 'tap';
 
+import type { ConnectionPool } from './ConnectionPool';
 import { createConnectionPool } from './createConnectionPool';
 import { exchange } from './exchange';
 import type { ExchangeRequest } from './ExchangeRequest';
@@ -14,13 +15,19 @@
 const keepAlive = setInterval(() => undefined, 1_000);
 t.teardown(() => clearInterval(keepAlive));
 
+/** A request without a body that takes any response for its own. */
+const ANY_RESPONSE: Omit<ExchangeRequest, 'pool' | 'scope'> = {
+  method: 'GET',
+  target: '/',
+  headers: ['Host', 'calls.example'],
+  body: { kind: 'whole', bytes: Buffer.alloc(0) },
+  isExpectedResponse: () => true,
+};
+
 const UNFRAMED = 'HTTP/1.1 200 OK\r\n\r\npart';
 const FRAMED = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok';
 
-async function listenWithPool(
-  server: Server,
-  maximumConnections: number,
-): Promise<ReturnType<typeof createConnectionPool>> {
+async function listenWithPool(server: Server, maximumConnections: number): Promise<ConnectionPool> {
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
@@ -38,18 +45,12 @@
   request: Pick<ExchangeRequest, 'pool' | 'target' | 'isExpectedResponse' | 'retiresConnection'>,
 ): Promise<ExchangeResult> {
   const scope = createCallScope(clock, milliseconds);
-  return exchange({
-    method: 'GET',
-    headers: ['Host', 'calls.example'],
-    body: { kind: 'whole', bytes: Buffer.alloc(0) },
-    scope,
-    ...request,
-  }).finally(scope.end);
+  return exchange({ ...ANY_RESPONSE, scope, ...request }).finally(scope.end);
 }
 
 async function withServer(
   answer: (socket: Socket, connections: number) => void,
-  use: (get: () => Promise<ExchangeResult>) => Promise<void>,
+  use: (get: () => Promise<ExchangeResult>, pool: ConnectionPool) => Promise<void>,
 ): Promise<void> {
   let connections = 0;
   const server = createServer((socket) => {
@@ -65,7 +66,7 @@
       target: '/',
       isExpectedResponse: ({ headers }) => headers.foreign === undefined,
     });
-  await use(get);
+  await use(get, pool);
   pool.close();
   server.close();
 }
@@ -81,6 +82,114 @@
   });
 });
 
+/** @returns Whether a long response ends as if it were complete, and its length without the part that came first. */
+async function readRest(result: ExchangeResult): Promise<{ isWhole: boolean; bytes: number }> {
+  if (result.kind !== 'stream') throw new Error(`expected a long response, got ${result.kind}`);
+  let bytes = 0;
+  let isWhole = false;
+  result.response.on('data', (chunk: Buffer) => {
+    bytes += chunk.length;
+  });
+  result.response.once('end', () => {
+    isWhole = true;
+  });
+  result.response.on('error', () => undefined);
+  const closed = new Promise((resolve) => {
+    result.response.once('close', resolve);
+  });
+  result.response.resume();
+  if (!result.response.closed) await closed;
+  return { isWhole, bytes };
+}
+
+const LONG_BYTES = 200_000;
+const NO_LENGTH = 'HTTP/1.1 200 OK\r\n\r\n';
+
+// Guards against a long response without a length that is passed on as complete although a reset truncated it: with the reset
+// directly behind the data, after a pause, and while the rest is not read.
+void t.test('a long unframed response that is reset does not appear complete', async (test) => {
+  for (const pauseMilliseconds of [0, 20, 100]) {
+    for (const readDelayMilliseconds of [0, 60]) {
+      const reset = (socket: Socket): void => {
+        socket.write(`${NO_LENGTH}${'x'.repeat(LONG_BYTES)}`);
+        setTimeout(() => {
+          socket.write('x'.repeat(1_000));
+          socket.resetAndDestroy();
+        }, pauseMilliseconds);
+      };
+      await withServer(reset, async (get) => {
+        const result = await get();
+        // With the reset directly behind it, the beginning may be lost as well.
+        if (pauseMilliseconds === 0 && result.kind === 'failed') return;
+        await clock.sleep(readDelayMilliseconds);
+        const { isWhole } = await readRest(result);
+        test.notOk(isWhole, `${pauseMilliseconds} ms, read after ${readDelayMilliseconds} ms`);
+      });
+    }
+  }
+});
+
+// Guards against rejecting long responses that end regularly with their connection, also if they are read slowly.
+void t.test('a long unframed response that ends regularly is complete', async (test) => {
+  const end = (socket: Socket): void => {
+    socket.end(`${NO_LENGTH}${'x'.repeat(LONG_BYTES)}`);
+  };
+  for (const readDelayMilliseconds of [0, 60]) {
+    await withServer(end, async (get) => {
+      const result = await get();
+      await clock.sleep(readDelayMilliseconds);
+      const { bytes, isWhole } = await readRest(result);
+      const headBytes = result.kind === 'stream' ? result.head.length : 0;
+      test.ok(isWhole);
+      test.equal(headBytes + bytes, LONG_BYTES);
+    });
+  }
+});
+
+// Guards against a response that is delivered without its last part, but with its end, because its deadline passes after
+// all of it has been received and before it has been read.
+void t.test('a long response that is read after its deadline is not shortened', async (test) => {
+  const partBytes = 5_000;
+  const answer = (socket: Socket): void => {
+    socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${LONG_BYTES + partBytes}\r\n\r\n`);
+    socket.write('x'.repeat(LONG_BYTES));
+    setTimeout(() => socket.write('x'.repeat(partBytes)), 50);
+  };
+  await withServer(answer, async (_get, pool) => {
+    const scope = createCallScope(clock, 200);
+    const result = await exchange({ ...ANY_RESPONSE, pool, scope });
+    await clock.sleep(400);
+    const { bytes, isWhole } = await readRest(result);
+    const headBytes = result.kind === 'stream' ? result.head.length : 0;
+    test.ok(isWhole);
+    test.equal(headBytes + bytes, LONG_BYTES + partBytes);
+  });
+});
+
+// Guards against a response in chunks or with a length that appears complete although its connection ended early.
+void t.test('a long framed response that is cut off does not appear complete', async (test) => {
+  const heads = {
+    chunks: `HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${(300_000).toString(16)}\r\n`,
+    length: 'HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n',
+  };
+  const ends = {
+    reset: (socket: Socket) => socket.resetAndDestroy(),
+    end: (socket: Socket) => socket.end(),
+  };
+  for (const [framing, head] of Object.entries(heads)) {
+    for (const [name, end] of Object.entries(ends)) {
+      const cut = (socket: Socket): void => {
+        socket.write(`${head}${'x'.repeat(LONG_BYTES)}`);
+        setTimeout(() => end(socket), 20);
+      };
+      await withServer(cut, async (get) => {
+        const { isWhole } = await readRest(await get());
+        test.notOk(isWhole, `${framing}, ${name}`);
+      });
+    }
+  }
+});
+
 // Guards against passing on a response whose head was cut off as a complete one without a body.
 void t.test('a response that ends within its head is no response', async (test) => {
   const head = 'HTTP/1.1 200 OK\r\nX-Signature: signed\r\nContent-Length: 2\r\n\r\n';
@@ -312,15 +421,7 @@
   });
   const pool = await listenWithPool(server, 1);
   const scope = createCallScope(clock, 500);
-  const result = await exchange({
-    pool,
-    method: 'GET',
-    target: '/',
-    headers: ['Host', 'calls.example'],
-    body: { kind: 'whole', bytes: Buffer.alloc(0) },
-    scope,
-    isExpectedResponse: () => true,
-  });
+  const result = await exchange({ ...ANY_RESPONSE, pool, scope });
   test.equal(result.kind, 'stream');
   if (result.kind !== 'stream') return;
   let bytes = 0;
--- a/packages/sidecar/src/lib/http/exchange.ts
+++ b/packages/sidecar/src/lib/http/exchange.ts
@@ -29,18 +29,16 @@
  * Detects a reset at the end of a response without a length. Node.js reports a reset that directly follows data as a
  * regular end of the stream; only the missing remote address then shows that the connection was reset.
  *
- * @returns A function to be called at the end of the response, which returns whether the connection was reset.
+ * @param response - The response.
+ * @param onReset - Called before the response ends.
  */
-function watchUnframedEnd({ headers, socket }: IncomingMessage): () => boolean {
+function watchUnframedEnd({ headers, socket }: IncomingMessage, onReset: () => void): void {
   const isFramed =
     headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-  let wasReset = false;
-  if (!isFramed) {
-    socket.prependOnceListener('end', () => {
-      wasReset = socket.remoteAddress === undefined;
-    });
-  }
-  return () => wasReset;
+  if (isFramed) return;
+  socket.prependOnceListener('end', () => {
+    if (socket.remoteAddress === undefined) onReset();
+  });
 }
 
 /** Handles an error after the exchange has ended; without a listener it would end the process. */
@@ -60,6 +58,7 @@
     let isSettled = false;
     let isSent = false;
     let hasHead = false;
+    let streamed: IncomingMessage | undefined;
     let stopListening: (() => void) | undefined;
     let connectTimer: NodeJS.Timeout | undefined;
     let interimResponses = 0;
@@ -84,6 +83,10 @@
     };
     const fail = (failure: ExchangeFailure): void => {
       settle({ kind: 'failed', failure, sent: isSent });
+      // A response that has been received is delivered, also if its reader is slow.
+      if (streamed?.complete) return;
+      // Must come first: destroying the request would let a response without a length end as if it were complete.
+      streamed?.destroy(new Error(`response failed: ${failure}`));
       request.destroy();
     };
     const failConnection = (): void => {
@@ -114,7 +117,7 @@
       }
       hasHead = true;
       if (options.retiresConnection?.(response)) request.shouldKeepAlive = false;
-      const wasReset = watchUnframedEnd(response);
+      watchUnframedEnd(response, () => fail('truncated'));
       const chunks: Buffer[] = [];
       let size = 0;
       const onData = (chunk: Buffer): void => {
@@ -123,11 +126,12 @@
         if (size <= MAXIMUM_BUFFERED_RESPONSE_BYTES) return;
         response.pause();
         response.off('data', onData);
+        streamed = response;
         settle({ kind: 'stream', response, head: Buffer.concat(chunks) });
       };
       response.on('data', onData);
       response.once('end', () => {
-        if (!response.complete || wasReset()) fail('truncated');
+        if (!response.complete) fail('truncated');
         else {
           const body = chunks.length === 1 ? (chunks[0] as Buffer) : Buffer.concat(chunks);
           settle({ kind: 'whole', response, body });
@@ -139,9 +143,6 @@
     request.on('error', failConnection);
     request.once('close', failConnection);
     sendBody(options, request);
-    stopListening = scope.onCancel(() => {
-      settle({ kind: 'failed', failure: 'cancelled', sent: isSent });
-      request.destroy();
-    });
+    stopListening = scope.onCancel(() => fail('cancelled'));
   });
 }
