sidecar: a body is not continued on another connection

An upload whose connection between two nodes was lost silently reached the upstream without the lost parts and with its end. An answer could reach its caller so, if the serving node went on sending before it had noticed the loss.

Cause: transfers were kept with their call, which outlives its connection, and were failed late or not at all.

Change: both nodes fail all bodies in transfer when they lose or replace the connection.

Evidence: the two tests "does not go on over another connection" of createPeerLink.test.ts failed before.

--- a/packages/sidecar/src/lib/channel/BodyChannel.ts
+++ b/packages/sidecar/src/lib/channel/BodyChannel.ts
@@ -26,5 +26,8 @@
  */
 export interface BodySender {
   readonly addCredit: (bytes: number) => void;
+  /** Sends nothing more and destroys the source. */
   readonly stop: () => void;
+  /** Sends nothing more. The source remains open, so that its sender can still be answered. */
+  readonly release: () => void;
 }
--- a/packages/sidecar/src/lib/channel/createBodySender.ts
+++ b/packages/sidecar/src/lib/channel/createBodySender.ts
@@ -27,6 +27,7 @@
     send({ bytes: NO_BYTES, last: !broken, broken });
   };
   source.on('data', (bytes: Buffer) => {
+    if (isEnded) return;
     credit -= bytes.length;
     send({ bytes, last: false, broken: false });
     if (credit <= 0) source.pause();
@@ -38,11 +39,15 @@
   return {
     addCredit: (bytes) => {
       credit += bytes;
-      if (credit > 0) source.resume();
+      if (credit > 0 && !isEnded) source.resume();
     },
     stop: () => {
       isEnded = true;
       source.destroy();
     },
+    release: () => {
+      isEnded = true;
+      source.pause();
+    },
   };
 }
--- a/packages/sidecar/src/lib/channel/createPeerLink.test.ts
+++ b/packages/sidecar/src/lib/channel/createPeerLink.test.ts
@@ -29,8 +29,10 @@
   readonly address: string;
   /** Resets all connections. */
   readonly reset: () => void;
-  /** Keeps reading from open connections but forwards nothing. */
+  /** Keeps reading from open connections but forwards nothing, nor that one side has closed its connection. */
   readonly stopForwarding: () => void;
+  /** Delays what later connections deliver, so that everything arrives at once. */
+  readonly delayForwarding: (milliseconds: number) => void;
   /** Refuses further connections. */
   readonly refuse: () => void;
   /** Accepts connections again after they were refused. */
@@ -48,6 +50,7 @@
 
 async function createRelay(target: () => string): Promise<Relay> {
   const sockets = new Set<Socket>();
+  let delayMilliseconds = 0;
   const server = createServer((incoming) => {
     const [host, port] = target().split(':');
     const outgoing = connect(Number(port), host);
@@ -61,7 +64,16 @@
       });
     });
     incoming.pipe(outgoing);
-    outgoing.pipe(incoming);
+    const delayed: Buffer[] = [];
+    const delay = (chunk: Buffer): void => {
+      delayed.push(chunk);
+    };
+    outgoing.on('data', delay);
+    setTimeout(() => {
+      outgoing.off('data', delay);
+      incoming.write(Buffer.concat(delayed));
+      outgoing.pipe(incoming);
+    }, delayMilliseconds);
   });
   const address = await listenOnLoopback(server);
   const reset = (): void => sockets.forEach((socket) => socket.resetAndDestroy());
@@ -71,9 +83,13 @@
     stopForwarding: () => {
       sockets.forEach((socket) => {
         socket.unpipe();
+        socket.removeAllListeners('close');
         socket.resume();
       });
     },
+    delayForwarding: (milliseconds) => {
+      delayMilliseconds = milliseconds;
+    },
     refuse: () => server.close(),
     accept: () => server.listen(Number(address.split(':')[1]), '127.0.0.1'),
     close: () => {
@@ -407,6 +423,70 @@
   node.close();
 });
 
+// Guards against an answer that appears complete without the parts that were lost with its connection: the serving node
+// sends the others, and the end, on the next connection before it has noticed the loss.
+void t.test('an answer in parts does not go on over another connection', async (test) => {
+  const rest = new Readable({ read: () => undefined });
+  rest.on('error', () => undefined);
+  const node = await startNode(FIRST, async () => answerOf('head', rest));
+  const relay = await createRelay(() => node.address);
+  const link = openLink(relay.address);
+  const { answer } = await link.call(callOf());
+  if (answer.kind !== 'answer' || !answer.rest) throw new Error('expected an answer in parts');
+  const received = answer.rest;
+  let isWhole = false;
+  received.once('end', () => {
+    isWhole = true;
+  });
+  received.resume();
+  relay.stopForwarding();
+  relay.delayForwarding(300);
+  const pushing = setInterval(() => rest.push('part'), 5);
+  await clock.sleep(1_400);
+  clearInterval(pushing);
+  if (!rest.destroyed) rest.push(null);
+  await clock.sleep(300);
+  test.ok(received.destroyed);
+  test.notOk(isWhole);
+  link.close();
+  relay.close();
+  node.close();
+});
+
+// Guards against an upload that reaches the upstream without the parts that were lost with its connection, and with its end.
+void t.test('an upload in parts does not go on over another connection', async (test) => {
+  let received: Promise<string> | undefined;
+  const node = await startNode(FIRST, async ({ body }) => {
+    if (body.kind !== 'stream') throw new Error('expected a body in parts');
+    received = text(body.stream);
+    await received.catch(() => undefined);
+    return answerOf('answer');
+  });
+  const relay = await createRelay(() => node.address);
+  const link = openLink(relay.address);
+  const stream = new Readable({ read: () => undefined });
+  const body = { kind: 'stream', stream, length: undefined, head: Buffer.from('head') } as const;
+  const calling = link.call(callOf({ body }));
+  await clock.sleep(100);
+  relay.stopForwarding();
+  stream.push('lost');
+  await clock.sleep(50);
+  relay.reset();
+  const { answer } = await calling;
+  test.match(answer, { reason: 'peer-unreachable', outcome: 'may-have-run' });
+  // Another call opens the next connection.
+  const { body: other } = callOf();
+  void link.call(callOf({ body: other }));
+  await clock.sleep(100);
+  stream.push('rest');
+  stream.push(null);
+  await test.rejects(received as Promise<string>);
+  test.notOk(stream.errored, 'the source can still be answered');
+  link.close();
+  relay.close();
+  node.close();
+});
+
 // Guards against an answer in parts that never ends and is received beyond the deadline of its call.
 void t.test('an answer in parts ends at the deadline of its call', async (test) => {
   let isUpstreamClosed = false;
--- a/packages/sidecar/src/lib/channel/createPeerLink.ts
+++ b/packages/sidecar/src/lib/channel/createPeerLink.ts
@@ -58,6 +58,7 @@
   const connector = createLinkConnector(options, {
     onFrame: (frame) => dispatch(frame),
     onLost: () => {
+      breakTransfers();
       void resume();
     },
   });
@@ -105,18 +106,25 @@
     handlers[frame.$case]?.(frame.value as never);
   }
 
+  /** Fails the bodies that are being transferred: parts that were lost with a connection are not sent again. */
+  function breakTransfers(): void {
+    calls.forEach(({ receiver, sender }, id) => {
+      receiver?.fail();
+      if (!sender) return;
+      sender.release();
+      settle(id, refused('peer-unreachable', 'may-have-run'));
+    });
+  }
+
   /**
-   * Fails the calls that can't be resumed: their bodies were being transferred, their process has ended, or it has
-   * forgotten the session and can't tell whether they have run.
+   * Fails the calls that can't be resumed: their process has ended, or it has forgotten the session and can't tell
+   * whether they have run.
    */
   const failUnresumable = (connection: LinkConnection | undefined): void => {
-    calls.forEach(({ call, receiver, sender, sentOn }, id) => {
-      receiver?.fail();
+    calls.forEach(({ call, sentOn }, id) => {
       const isUnknown = connection && !isSameSession(connection, sentOn);
       const isUnreachable = !connection && call.repeatable;
-      if (sender || isUnknown || isUnreachable) {
-        settle(id, refused('peer-unreachable', 'may-have-run'));
-      }
+      if (isUnknown || isUnreachable) settle(id, refused('peer-unreachable', 'may-have-run'));
     });
   };
 
--- a/packages/sidecar/src/lib/channel/createPeerSession.ts
+++ b/packages/sidecar/src/lib/channel/createPeerSession.ts
@@ -148,11 +148,18 @@
     return { kind: 'stream', stream: receiver.stream, length, head: bytes };
   };
 
+  /** Fails the bodies that are being transferred: parts that were lost with a connection are not sent again. */
+  const breakTransfers = (): void => {
+    attempts.forEach(({ receiver, sender }) => {
+      receiver?.fail();
+      sender?.stop();
+    });
+  };
+
   /** Cancels the running calls. The session remains, so that the other node is told how they ended. */
   const cancelOrphans = (): void => {
     attempts.forEach((attempt) => {
       Object.assign(attempt, { isOrphaned: true });
-      attempt.receiver?.fail();
       attempt.scope.cancel('caller-gone');
     });
   };
@@ -163,12 +170,14 @@
       const earlier = connection;
       connection = next;
       stopTimers();
-      earlier?.destroy();
+      if (!earlier) return;
+      breakTransfers();
+      earlier.destroy();
     },
     detach: (lost) => {
       if (connection !== lost) return;
       connection = undefined;
-      attempts.forEach(({ sender }) => sender?.stop());
+      breakTransfers();
       const timers = [
         clock.setTimer(channelTimes.orphanTimeout, cancelOrphans),
         clock.setTimer(channelTimes.sessionRetention, onForgotten),
@@ -217,6 +226,7 @@
     onCancel: ({ id }) => {
       const attempt = attempts.get(id);
       attempt?.scope.cancel('caller-gone');
+      attempt?.receiver?.fail();
       attempt?.sender?.stop();
     },
     onBodyPart: (part) => attempts.get(part.id)?.receiver?.push(part),
