--- a/packages/sidecar/src/lib/channel/createPeerLink.test.ts
+++ b/packages/sidecar/src/lib/channel/createPeerLink.test.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { connect, createServer } from 'node:net';
 import { Readable } from 'node:stream';
@@ -487,6 +488,37 @@
   node.close();
 });
 
+// Guards against a long answer that stops for good, and can't be cancelled, because the serving node has forgotten it after many
+// later answers or after the retention of answers.
+void t.test('a slowly read answer goes on after many later answers', async (test) => {
+  const sessionClock = createFakeClock();
+  const restBytes = 2_000_000;
+  const node = await startNode(
+    FIRST,
+    async ({ target }) => {
+      if (target !== '/long') return answerOf('short');
+      const chunks = Array.from({ length: restBytes / 10_000 }, () => Buffer.alloc(10_000));
+      return answerOf('head', Readable.from(chunks, { objectMode: false }));
+    },
+    sessionClock,
+  );
+  const link = openLink(node.address);
+  const { answer } = await link.call(callOf({ target: '/long' }, 20_000));
+  if (answer.kind !== 'answer' || !answer.rest) throw new Error('expected an answer in parts');
+  for (let later = 0; later < 300; later += 1) await link.call(callOf());
+  await sessionClock.advance(6_000);
+  await link.call(callOf());
+  const { rest } = answer;
+  let bytes = 0;
+  rest.on('data', (chunk: Buffer) => {
+    bytes += chunk.length;
+  });
+  await Promise.race([once(rest, 'end'), clock.sleep(2_000)]);
+  test.equal(bytes, restBytes);
+  link.close();
+  node.close();
+});
+
 // Guards against an answer in parts that never ends and is received beyond the deadline of its call.
 void t.test('an answer in parts ends at the deadline of its call', async (test) => {
   let isUpstreamClosed = false;
--- a/packages/sidecar/src/lib/channel/createPeerSession.ts
+++ b/packages/sidecar/src/lib/channel/createPeerSession.ts
@@ -1,3 +1,5 @@
+import type { Readable } from 'node:stream';
+
 import { createCallScope, refuse } from '@buckthornslip/calls';
 import type { CallScope } from '@buckthornslip/calls';
 import type { Clock, Outcome } from '@buckthornslip/common';
@@ -5,6 +7,7 @@
 import type { channelMessages } from '@buckthornslip/wire';
 
 import type { RequestBody } from '../http/RequestBody';
+import { whenClosed } from '../http/whenClosed';
 import type { AttemptResult } from '../serving/AttemptResult';
 import type { BodyReceiver, BodySender } from './BodyChannel';
 import { fromCallMessage, toAnswerMessage } from './callFrames';
@@ -100,11 +103,9 @@
     connection?.send({ $case: 'answer', value: toAnswerMessage(id, result) });
   };
 
-  const sendRest = (id: number, attempt: Attempt, result: AttemptResult): void => {
-    const { answer } = result;
-    if (answer.kind !== 'answer' || !answer.rest) return;
+  const sendRest = (id: number, attempt: Attempt, rest: Readable): void => {
     Object.assign(attempt, {
-      sender: createBodySender(answer.rest, (part) =>
+      sender: createBodySender(rest, (part) =>
         connection?.send({ $case: 'bodyPart', value: { id, ...part } }),
       ),
     });
@@ -126,11 +127,18 @@
   const finish = (id: number, attempt: Attempt, served: AttemptResult): void => {
     const result = attempt.isOrphaned ? reportOrphaned(served) : served;
     const rest = result.answer.kind === 'answer' ? result.answer.rest : undefined;
-    if (rest) rest.once('close', attempt.scope.end);
-    else attempt.scope.end();
     Object.assign(attempt, { result });
     send(id, result);
-    sendRest(id, attempt, result);
+    if (rest) {
+      // The other node can't resume a body, so its call is needed only until the body ends.
+      sendRest(id, attempt, rest);
+      whenClosed(rest, () => {
+        attempt.scope.end();
+        attempts.delete(id);
+      });
+      return;
+    }
+    attempt.scope.end();
     retainedAnswers.push({
       id,
       untilMilliseconds: clock.monotonicMilliseconds() + channelTimes.answerRetention,
