--- a/packages/sidecar/src/lib/channel/createBodySender.ts
+++ b/packages/sidecar/src/lib/channel/createBodySender.ts
@@ -1,5 +1,6 @@
 import type { Readable } from 'node:stream';
 
+import { whenClosed } from '../http/whenClosed';
 import type { BodyPartFields, BodySender } from './BodyChannel';
 
 /** Bytes that may be sent before the receiver grants credit. */
@@ -34,7 +35,7 @@
   });
   source.once('end', () => end(false));
   source.once('error', () => end(true));
-  source.once('close', () => end(!source.readableEnded));
+  whenClosed(source, () => end(!source.readableEnded));
   source.resume();
   return {
     addCredit: (bytes) => {
--- a/packages/sidecar/src/lib/http/exchange.test.ts
+++ b/packages/sidecar/src/lib/http/exchange.test.ts
@@ -1,5 +1,6 @@
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { createServer } from 'node:net';
+import { Readable } from 'node:stream';
 
 import { createCallScope } from '@buckthornslip/calls';
 import { createSystemClock } from '@buckthornslip/common';
@@ -439,3 +440,23 @@
   scope.end();
   server.close();
 });
+
+// Guards against an upload that holds its connection until the deadline because its body had failed before it was sent.
+void t.test('an upload whose body has already failed ends at once', async (test) => {
+  const stream = new Readable({ read: () => undefined });
+  stream.on('error', () => undefined);
+  stream.destroy(new Error('connection to the caller was lost'));
+  await clock.sleep(10);
+  await withServer(
+    () => undefined,
+    async (_get, pool) => {
+      const scope = createCallScope(clock, 1_000);
+      const body = { kind: 'stream', stream, length: 10, head: Buffer.from('head') } as const;
+      const startedMilliseconds = clock.monotonicMilliseconds();
+      const result = await exchange({ ...ANY_RESPONSE, method: 'POST', body, pool, scope });
+      test.match(result, { kind: 'failed' });
+      test.ok(clock.monotonicMilliseconds() - startedMilliseconds < 500);
+      scope.end();
+    },
+  );
+});
--- a/packages/sidecar/src/lib/http/exchange.ts
+++ b/packages/sidecar/src/lib/http/exchange.ts
@@ -6,6 +6,7 @@
 
 import type { ExchangeRequest } from './ExchangeRequest';
 import type { ExchangeFailure, ExchangeResult } from './ExchangeResult';
+import { whenClosed } from './whenClosed';
 
 /** Longest response that is buffered until it is complete, in bytes. Longer ones are streamed. */
 const MAXIMUM_BUFFERED_RESPONSE_BYTES = 131_072;
@@ -20,7 +21,7 @@
   }
   if (body.head.length > 0) request.write(body.head);
   body.stream.pipe(request);
-  body.stream.once('close', () => {
+  whenClosed(body.stream, () => {
     if (!body.stream.readableEnded) request.destroy();
   });
 }
--- a/packages/sidecar/src/lib/http/limitBody.ts
+++ b/packages/sidecar/src/lib/http/limitBody.ts
@@ -2,6 +2,8 @@
 import type { Readable } from 'node:stream';
 import { Transform } from 'node:stream';
 
+import { whenClosed } from './whenClosed';
+
 /**
  * Limits the rest of a body without a declared length. If it is longer, the caller's connection is closed, and the
  * stream of the rest fails.
@@ -32,7 +34,7 @@
   });
   // Readers handle the close event; an error without a listener would end the process.
   limited.on('error', () => undefined);
-  request.once('close', () => {
+  whenClosed(request, () => {
     if (!request.readableEnded) limited.destroy();
   });
   request.pipe(limited);
--- a/packages/sidecar/src/lib/http/writeResponse.ts
+++ b/packages/sidecar/src/lib/http/writeResponse.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from 'node:http';
 
+import { whenClosed } from './whenClosed';
 import type { UpstreamResponse } from '../serving/AttemptResult';
 
 function hasLength(headers: readonly string[]): boolean {
@@ -34,15 +35,15 @@
   response.writeHead(status, all);
   response.write(body);
   return new Promise((resolve) => {
-    rest.once('close', () => {
-      if (!rest.readableEnded) response.destroy();
-      resolve();
-    });
     rest.once('error', () => response.destroy());
     response.once('close', () => {
       rest.destroy();
       resolve();
     });
     rest.pipe(response);
+    whenClosed(rest, () => {
+      if (!rest.readableEnded) response.destroy();
+      resolve();
+    });
   });
 }
--- a/packages/sidecar/src/lib/serving/createCallServer.ts
+++ b/packages/sidecar/src/lib/serving/createCallServer.ts
@@ -11,6 +11,7 @@
 import type { ConnectionPool } from '../http/ConnectionPool';
 import { exchange } from '../http/exchange';
 import type { ExchangeFailure, ExchangeResult } from '../http/ExchangeResult';
+import { whenClosed } from '../http/whenClosed';
 import { priorityOfRank } from '../policy/priorityOfRank';
 import type { CallProtocol } from '../protocol/CallProtocol';
 import { isNotRunStatus } from '../protocol/isNotRunStatus';
@@ -203,7 +204,7 @@
     const answer = toAnswer(call, view, result, head);
     const outcome = permitOutcome(result, answer);
     if (answer.kind === 'answer' && answer.rest)
-      answer.rest.once('close', () => permit.release(outcome));
+      whenClosed(answer.rest, () => permit.release(outcome));
     else permit.release(outcome);
     if (answer.kind === 'refusal') {
       logger.log('attemptFailed', {
