sidecar: requests that crash upstreams are suspects (BUDGET)

Seen: a request that crashes each upstream that runs it was sent on by the nodes without end as it came again; other calls were lost with the upstreams.

Cause: the sidecar remembered nothing of the calls that ran when an upstream's process ended.

Change: reset connections followed by refused ones show that the process has ended; the calls are suspects, which the nodes of the service tell each other and repeat for nodes that were restarted or cut off. They are not retried after two crashes and refused after three, and any response clears them. createSuspectTable gets its threshold as an argument, and shared suspects keep their expiry.

--- a/apps/standins/src/lib/node/createFakeSuspectTable.ts
+++ b/apps/standins/src/lib/node/createFakeSuspectTable.ts
@@ -16,6 +16,12 @@
       if (count >= FAILURES_TO_REFUSE) return 'refused';
       return count > 0 ? 'isolated' : 'clear';
     },
+    isEmpty: () => failures.size === 0,
+    failuresOf: (fingerprint) => failures.get(fingerprint) ?? 0,
+    list: (minimumFailures) =>
+      [...failures]
+        .filter(([, count]) => count >= minimumFailures)
+        .map(([fingerprint, count]) => ({ fingerprint, failures: count })),
     begin: (fingerprint) => running.set(fingerprint, (running.get(fingerprint) ?? 0) + 1),
     end: (fingerprint, answered) => {
       const left = (running.get(fingerprint) ?? 1) - 1;
--- a/packages/calls/src/lib/suspects/Suspect.ts
+++ b/packages/calls/src/lib/suspects/Suspect.ts
@@ -7,4 +7,6 @@
   readonly fingerprint: string;
   /** Number of upstream failures while the request was running. */
   readonly failures: number;
+  /** Time for which a node that is told later keeps it, in milliseconds; by default the time of a new failure. */
+  readonly remainingMilliseconds?: number;
 }
--- a/packages/calls/src/lib/suspects/SuspectTable.ts
+++ b/packages/calls/src/lib/suspects/SuspectTable.ts
@@ -12,6 +12,15 @@
    */
   readonly classify: (fingerprint: string) => 'clear' | 'isolated' | 'refused';
 
+  /** @returns Whether no request may be a suspect. */
+  readonly isEmpty: () => boolean;
+
+  /** @returns Upstream failures while the request was running, as far as they are remembered. */
+  readonly failuresOf: (fingerprint: string) => number;
+
+  /** @returns Suspects with at least so many failures, for nodes that may not know them. */
+  readonly list: (minimumFailures: number) => readonly Suspect[];
+
   /** Records that a call has started at the upstream. */
   readonly begin: (fingerprint: string) => void;
 
--- a/packages/calls/src/lib/suspects/createSuspectTable.ts
+++ b/packages/calls/src/lib/suspects/createSuspectTable.ts
@@ -9,7 +9,7 @@
  */
 const SUSPECT_MILLISECONDS = 60_000;
 
-/** Number of failures from which a request is refused. */
+/** Number of failures from which a request is refused by default. */
 const FAILURES_TO_REFUSE = 2;
 
 /** Maximum time for which a request is refused, in milliseconds. */
@@ -24,10 +24,10 @@
   readonly expiresMilliseconds: number;
 }
 
-function refusalMilliseconds(failures: number): number {
-  if (failures < FAILURES_TO_REFUSE) return 0;
+function refusalMilliseconds(failures: number, failuresToRefuse: number): number {
+  if (failures < failuresToRefuse) return 0;
   // Each further failure doubles the time, so that a caller that repeats a request for hours crashes few upstreams.
-  const doubled = SUSPECT_MILLISECONDS * 2 ** (failures - FAILURES_TO_REFUSE);
+  const doubled = SUSPECT_MILLISECONDS * 2 ** (failures - failuresToRefuse);
   return Math.min(MAXIMUM_REFUSAL_MILLISECONDS, doubled);
 }
 
@@ -36,12 +36,14 @@
  *
  * @param clock - Source of monotonic time.
  * @param share - Sends suspects to the other nodes of the service.
+ * @param failuresToRefuse - Number of failures from which a request is refused.
  * @returns An empty table.
  * @public
  */
 export function createSuspectTable(
   clock: Clock,
   share: (suspects: readonly Suspect[]) => void,
+  failuresToRefuse = FAILURES_TO_REFUSE,
 ): SuspectTable {
   const suspects = new Map<string, SuspectRecord>();
   const running = new Map<string, number>();
@@ -54,15 +56,20 @@
     return undefined;
   };
 
-  const store = (fingerprint: string, failures: number): void => {
+  const store = (fingerprint: string, failures: number, remainingMilliseconds?: number): void => {
     const nowMilliseconds = clock.monotonicMilliseconds();
-    const refusedUntilMilliseconds = nowMilliseconds + refusalMilliseconds(failures);
+    const refusal =
+      remainingMilliseconds === undefined
+        ? refusalMilliseconds(failures, failuresToRefuse)
+        : Math.max(0, remainingMilliseconds - SUSPECT_MILLISECONDS);
+    const refusedUntilMilliseconds = nowMilliseconds + refusal;
     // Reinserting moves the record to the end, so that the first record of the map is the oldest.
     suspects.delete(fingerprint);
     suspects.set(fingerprint, {
       failures,
       refusedUntilMilliseconds,
-      expiresMilliseconds: refusedUntilMilliseconds + SUSPECT_MILLISECONDS,
+      expiresMilliseconds:
+        nowMilliseconds + (remainingMilliseconds ?? refusal + SUSPECT_MILLISECONDS),
     });
     const oldest = suspects.keys().next().value;
     if (suspects.size > MAXIMUM_SUSPECTS && oldest !== undefined) suspects.delete(oldest);
@@ -75,6 +82,16 @@
       const isRefused = record.refusedUntilMilliseconds > clock.monotonicMilliseconds();
       return isRefused ? 'refused' : 'isolated';
     },
+    isEmpty: () => suspects.size === 0,
+    failuresOf: (fingerprint) => findCurrent(fingerprint)?.failures ?? 0,
+    list: (minimumFailures) =>
+      [...suspects.keys()].flatMap((fingerprint) => {
+        const record = findCurrent(fingerprint);
+        if (!record || record.failures < minimumFailures) return [];
+        const { expiresMilliseconds, failures } = record;
+        const remainingMilliseconds = expiresMilliseconds - clock.monotonicMilliseconds();
+        return [{ fingerprint, failures, remainingMilliseconds }];
+      }),
     begin: (fingerprint) => {
       running.set(fingerprint, (running.get(fingerprint) ?? 0) + 1);
     },
@@ -94,9 +111,9 @@
       if (found.length > 0) share(found);
     },
     merge: (shared) => {
-      for (const { fingerprint, failures } of shared) {
+      for (const { fingerprint, failures, remainingMilliseconds } of shared) {
         const known = findCurrent(fingerprint)?.failures ?? 0;
-        if (failures > known) store(fingerprint, failures);
+        if (failures > known) store(fingerprint, failures, remainingMilliseconds);
       }
     },
   };
--- a/packages/sidecar/src/lib/channel/PeerHandlers.ts
+++ b/packages/sidecar/src/lib/channel/PeerHandlers.ts
@@ -1,3 +1,4 @@
+import type { Suspect } from '@buckthornslip/calls';
 import type { LedgerGrant, LedgerRequest } from '@buckthornslip/limits';
 
 import type { AttemptResult } from '../serving/AttemptResult';
@@ -13,4 +14,5 @@
   readonly serve: (call: CallAttempt) => Promise<AttemptResult>;
   readonly grant: (request: LedgerRequest) => Promise<LedgerGrant>;
   readonly exchange: (fields: ExchangeFields) => ExchangeFields;
+  readonly mergeSuspects: (suspects: readonly Suspect[]) => void;
 }
--- a/packages/sidecar/src/lib/channel/PeerLink.ts
+++ b/packages/sidecar/src/lib/channel/PeerLink.ts
@@ -1,3 +1,4 @@
+import type { Suspect } from '@buckthornslip/calls';
 import type { LedgerGrant, LedgerRequest } from '@buckthornslip/limits';
 import type { channelMessages } from '@buckthornslip/wire';
 
@@ -19,5 +20,7 @@
   readonly requestTokens: (request: LedgerRequest) => Promise<LedgerGrant | undefined>;
   /** @returns The node's answer, or undefined if it did not answer in time. */
   readonly exchange: (fields: ExchangeFields) => Promise<ExchangeFields | undefined>;
+  /** Tells the node of requests that may have crashed upstreams of its service. */
+  readonly shareSuspects: (suspects: readonly Suspect[]) => void;
   readonly close: () => void;
 }
--- a/packages/sidecar/src/lib/channel/createPeerLink.test.ts
+++ b/packages/sidecar/src/lib/channel/createPeerLink.test.ts
@@ -4,6 +4,7 @@
 import { Readable } from 'node:stream';
 import { text } from 'node:stream/consumers';
 
+import type { Suspect } from '@buckthornslip/calls';
 import { createCallScope, refuse } from '@buckthornslip/calls';
 import type { Clock, HostId, Incarnation, ServiceId } from '@buckthornslip/common';
 import { createFakeClock, createSystemClock } from '@buckthornslip/common';
@@ -104,6 +105,7 @@
   incarnation: Incarnation,
   serve: PeerHandlers['serve'],
   sessionClock: Clock = clock,
+  mergeSuspects: PeerHandlers['mergeSuspects'] = () => undefined,
 ) {
   const self = { host: 'serving' as HostId, incarnation };
   const listener = createPeerListener(
@@ -112,6 +114,7 @@
       serve,
       grant: async () => ({ tokens: 1, retryAfterMilliseconds: 0 }),
       exchange: (fields) => fields,
+      mergeSuspects,
     },
   );
   const address = await reserveAddress();
@@ -543,3 +546,22 @@
   link.close();
   node.close();
 });
+
+// Guards against suspects that are lost or changed on the way to another node, or that keep no expiry.
+void t.test('suspects are transferred unchanged', async (test) => {
+  let merged: readonly Suspect[] = [];
+  const serve = async (): Promise<AttemptResult> => answerOf('answer');
+  const node = await startNode(FIRST, serve, clock, (suspects) => {
+    merged = suspects;
+  });
+  const link = openLink(node.address);
+  const suspects = [
+    { fingerprint: 'new', failures: 1, remainingMilliseconds: undefined },
+    { fingerprint: 'known', failures: 3, remainingMilliseconds: 1_500 },
+  ];
+  link.shareSuspects(suspects);
+  await clock.sleep(100);
+  test.strictSame(merged, suspects);
+  link.close();
+  node.close();
+});
--- a/packages/sidecar/src/lib/channel/createPeerLink.ts
+++ b/packages/sidecar/src/lib/channel/createPeerLink.ts
@@ -15,6 +15,7 @@
 import type { Frame } from './frameCodec';
 import type { ExchangeFields, PeerLink } from './PeerLink';
 import type { PeerLinkOptions } from './PeerLinkOptions';
+import { toSuspectsMessage } from './suspectFrames';
 
 /** Buffered bytes above which no further call is sent on a connection. */
 const MAXIMUM_PENDING_BYTES = 8_388_608;
@@ -245,6 +246,12 @@
         (sequence) => ({ $case: 'exchange', value: { sequence, ...fields } }),
         channelTimes.exchangeTimeout,
       ),
+    shareSuspects: (suspects) => {
+      // A node that can't be reached is told at a later repetition.
+      void connector.connect().then((connection) => {
+        connection?.frames.send({ $case: 'suspects', value: toSuspectsMessage(suspects) });
+      });
+    },
     close: () => {
       stopChecking?.();
       connector.close();
--- a/packages/sidecar/src/lib/channel/createPeerListener.ts
+++ b/packages/sidecar/src/lib/channel/createPeerListener.ts
@@ -12,6 +12,7 @@
 import { createPeerSession } from './createPeerSession';
 import type { Frame } from './frameCodec';
 import type { PeerHandlers } from './PeerHandlers';
+import { fromSuspectsMessage } from './suspectFrames';
 
 /** Listener for the connections of other nodes. */
 export interface PeerListener {
@@ -73,6 +74,8 @@
       cancel: (message: channelMessages.Cancel) => session?.onCancel(message),
       bodyPart: (message: channelMessages.BodyPart) => session?.onBodyPart(message),
       bodyCredit: (message: channelMessages.BodyCredit) => session?.onBodyCredit(message),
+      suspects: (message: channelMessages.Suspects) =>
+        peerHandlers.mergeSuspects(fromSuspectsMessage(message)),
       ping: (value: channelMessages.Ping, connection) => connection.send({ $case: 'pong', value }),
       ledgerRequest: (message: channelMessages.LedgerRequest, connection) => {
         const { ahead, needed, sequence } = message;
--- a/packages/sidecar/src/lib/channel/malformedMessages.test.ts
+++ b/packages/sidecar/src/lib/channel/malformedMessages.test.ts
@@ -31,6 +31,7 @@
       serve: async () => ({ answer: refuse('queue-full'), load: undefined }),
       grant: async () => ({ tokens: 1, retryAfterMilliseconds: 0 }),
       exchange: (fields) => fields,
+      mergeSuspects: () => undefined,
       ...changed,
     },
   );
--- a/packages/sidecar/src/lib/entry/createEntry.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.ts
@@ -2,7 +2,7 @@
 
 import type { Refusal } from '@buckthornslip/calls';
 import { createCallScope, forwardableHeaders, isServerError, refuse } from '@buckthornslip/calls';
-import type { AccountId } from '@buckthornslip/common';
+import type { AccountId, RefusalReason } from '@buckthornslip/common';
 import type { PolicyRoute } from '@buckthornslip/config';
 
 import { DEFAULT_TIMEOUT_MILLISECONDS } from './DEFAULT_TIMEOUT_MILLISECONDS';
@@ -45,6 +45,12 @@
  */
 const POLICY_WAIT_MILLISECONDS = 1_000;
 
+/** Refusals that say nothing about the load of a service. */
+const UNRELATED_TO_LOAD: ReadonlySet<RefusalReason> = new Set<RefusalReason>([
+  'caller-gone',
+  'suspected-crash',
+]);
+
 function isSuccess(answer: ForwardResult['answer']): boolean {
   return answer.kind === 'answer' && !isServerError(answer.status);
 }
@@ -136,9 +142,9 @@
     if (!started) return notSent(refuse('priority-cutoff'));
     const result = await forwarder.forward(call);
     const { answer } = result;
-    const isCallerGone = answer.kind === 'refusal' && answer.reason === 'caller-gone';
+    const isUnrelatedToLoad = answer.kind === 'refusal' && UNRELATED_TO_LOAD.has(answer.reason);
     // If upstreams refuse calls that their nodes have admitted, throttling would not let more of the others succeed.
-    const showsOverload = !isCallerGone && !result.isShed;
+    const showsOverload = !isUnrelatedToLoad && !result.isShed;
     if (isSuccess(answer)) started.finish(true);
     else if (showsOverload) started.finish(false);
     return result;
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -15,6 +15,7 @@
 import { createEntry } from '../entry/createEntry';
 import { createServiceRetryBudget } from '../entry/createServiceRetryBudget';
 import { createConnectionPools } from '../http/createConnectionPools';
+import { refusesConnections } from '../http/refusesConnections';
 import { createPeerLinks } from '../peers/createPeerLinks';
 import { fromExchangeFields, toExchangeFields } from '../peers/exchangeCodec';
 import { createPolicyFetcher } from '../policy/createPolicyFetcher';
@@ -28,6 +29,7 @@
 import { createRepeatLimit } from '../serving/createRepeatLimit';
 import { createRunningCalls } from '../serving/createRunningCalls';
 import { createStatedLimit } from '../serving/createStatedLimit';
+import { createSuspects } from '../serving/createSuspects';
 import { createCallServer } from '../serving/createCallServer';
 import { createUpstreamRegistry } from '../serving/createUpstreamRegistry';
 import type { UpstreamInstance } from '../serving/UpstreamInstance';
@@ -220,6 +222,18 @@
     settings: sidecarRouterSettings,
   });
   const poolOf = upstreamConnectionPools.get;
+  const suspects = createSuspects({
+    clock,
+    random,
+    logger,
+    refusesConnections,
+    onCrash: upstream.markLost,
+    peers: () =>
+      directory
+        .members(service)
+        .filter((member) => member.host !== host)
+        .map(({ peerAddress }) => ({ share: links.get(peerAddress).shareSuspects })),
+  });
   const runningCalls = createRunningCalls();
   const callServer = createCallServer({
     clock,
@@ -229,6 +243,7 @@
     protocol,
     running: runningCalls,
     statedLimit,
+    suspects,
     repeats: createRepeatLimit({
       ...options.retries,
       upstreamCount: memoizeByRevision(directory.revision, () => directory.members(service).length),
@@ -276,7 +291,12 @@
   };
   const peerListener = createPeerListener(
     { clock, logger, self: { host, incarnation } },
-    { serve: callServer.serve, grant: ledger.grant, exchange: answerExchange },
+    {
+      serve: callServer.serve,
+      grant: ledger.grant,
+      exchange: answerExchange,
+      mergeSuspects: suspects.merge,
+    },
   );
 
   const addGauges = (): void => {
@@ -316,6 +336,7 @@
     directory.close();
     policy.close();
     upstream.close();
+    suspects.close();
     router.close();
     links.close();
     upstreamConnectionPools.close();
--- a/packages/sidecar/src/lib/serving/createCallServer.ts
+++ b/packages/sidecar/src/lib/serving/createCallServer.ts
@@ -20,6 +20,7 @@
 import { isSameStart } from './isSameStart';
 import type { RunningCalls } from './createRunningCalls';
 import type { StatedLimit } from './createStatedLimit';
+import type { Suspects } from './createSuspects';
 import type { AttemptResult, UpstreamResponse } from './AttemptResult';
 import type { CallAttempt } from './CallAttempt';
 import type { UpstreamRegistry, UpstreamView } from './UpstreamRegistry';
@@ -35,6 +36,7 @@
   readonly protocol: CallProtocol;
   readonly running: RunningCalls;
   readonly repeats: RepeatLimit;
+  readonly suspects: Pick<Suspects, 'check' | 'recordReset' | 'recordAnswer'>;
   readonly logger: EventLogger;
 }
 
@@ -83,8 +85,8 @@
  * @public
  */
 export function createCallServer(options: CallServerOptions): CallServer {
-  const { admission, clock, logger, poolOf, protocol, repeats, running, statedLimit, upstream } =
-    options;
+  const { admission, clock, logger, poolOf, protocol, running, statedLimit, upstream } = options;
+  const { repeats, suspects } = options;
 
   const refuseByState = (
     call: CallAttempt,
@@ -202,6 +204,10 @@
       .catch(release)
       .finally(tracked.end);
     const answer = toAnswer(call, view, result, head);
+    if (answer.kind === 'answer') suspects.recordAnswer(call);
+    else if (result.kind === 'failed' && result.failure === 'reset') {
+      suspects.recordReset(call, view.instance.address);
+    }
     const outcome = permitOutcome(result, answer);
     if (answer.kind === 'answer' && answer.rest)
       whenClosed(answer.rest, () => permit.release(outcome));
@@ -235,7 +241,7 @@
   };
 
   const admit = async (call: CallAttempt): Promise<ServedCall> => {
-    const refusal = refuseByState(call, upstream.current());
+    const refusal = refuseByState(call, upstream.current()) ?? suspects.check(call);
     if (refusal) return { answer: refusal };
     const request: AdmissionRequest = {
       account: call.chargedAccount,
@@ -258,7 +264,8 @@
     const view = upstream.current();
     const cancelled = call.scope.cancelReason();
     const lateRefusal =
-      refuseByState(call, view) ?? (cancelled ? refuse(cancelled) : refuseRepeat(call));
+      refuseByState(call, view) ??
+      (cancelled ? refuse(cancelled) : (suspects.check(call) ?? refuseRepeat(call)));
     if (lateRefusal) {
       admitted.value.release('cancelled');
       return { answer: lateRefusal };
--- a/packages/telemetry/src/lib/events/sidecarEvents.ts
+++ b/packages/telemetry/src/lib/events/sidecarEvents.ts
@@ -63,6 +63,16 @@
     perCall: true,
   },
   upstreamStateChanged: { number: 7100, level: 'info', message: 'upstream changed its state' },
+  upstreamCrashed: {
+    number: 7105,
+    level: 'warn',
+    message: 'upstream refuses connections after resets; the running calls are suspects',
+  },
+  suspectRefused: {
+    number: 7106,
+    level: 'warn',
+    message: 'call refused because upstreams crashed while equal calls were running',
+  },
   upstreamDeparted: { number: 7104, level: 'info', message: 'departure of an upstream received' },
   upstreamLimitChanged: {
     number: 7102,
