sidecar: a call that a wrong instance rejects counts as an arrival

After a response 421, the next attempt of a call was no repeat: it needed no budget and earned some.

Cause: the response was reported with the reason that nodes use for calls that they have not sent.

Change: it is reported like other rejections by an upstream.

Evidence: wrongInstance.test.ts failed before.

--- a/packages/sidecar/src/lib/serving/createCallServer.ts
+++ b/packages/sidecar/src/lib/serving/createCallServer.ts
@@ -112,7 +112,8 @@
     }
     if (isWrongInstance(status)) {
       upstream.markLost();
-      return refuse('upstream-draining');
+      // Unlike a refusal of this node, it counts as an arrival at an upstream.
+      return refuse('upstream-shed');
     }
     if (head.isNotRun) return refuse('upstream-shed');
     if (isNotRunStatus(status)) {
