sidecar, limits: a node that is cut off grants its share of account limits (QUOTA)

Seen: with one of four machines cut off and an account at four times its limit, 769 to 795 requests ran in 5 s; 548 are allowed.

Cause: a node that is cut off takes the others for dead and keeps the ledgers of all accounts with their whole rate. After the cut, nodes disagree on the keeper for seconds. Buckets created within 15 s of the first start were full, also on a node that takes a ledger over.

Change: a node without contact or connections grants 1/n of each rate. When it is back it takes the others for alive and shows that it is back. Buckets start full only if no node was lost.

--- a/packages/limits/src/lib/ledger/AccountLedger.ts
+++ b/packages/limits/src/lib/ledger/AccountLedger.ts
@@ -20,6 +20,13 @@
 /** Dependencies and settings of a ledger. */
 export interface AccountLedgerOptions {
   readonly allowanceOf: (account: AccountId) => AccountAllowance | undefined;
-  /** Whether no other node can have granted tokens before, so that buckets may start full. */
+  /** Whether the whole system has just started for the first time, so that no other node can have granted tokens before. */
   readonly isFirstStart: boolean;
+  /** @returns Whether another node may have failed since, so that it may have granted tokens of a ledger that has moved here. */
+  readonly hasLostNodes: () => boolean;
+  /**
+   * @returns Share of each account's rate that this node may grant, from 0 to 1. It is below 1 while other nodes may grant tokens
+   *   of the same accounts.
+   */
+  readonly share: () => number;
 }
--- a/packages/limits/src/lib/ledger/createAccountLedger.ts
+++ b/packages/limits/src/lib/ledger/createAccountLedger.ts
@@ -8,8 +8,8 @@
 import { createTokenRequestQueue } from './createTokenRequestQueue';
 
 /**
- * Time after the first start of the whole system during which no ledger can have moved to another
- * node, in milliseconds.
+ * Time after the first start of the whole system during which no ledger has moved to another node unless a node was lost, in
+ * milliseconds.
  */
 const FIRST_START_PERIOD_MILLISECONDS = 15_000;
 
@@ -25,6 +25,12 @@
 
 const NO_ALLOWANCE: AccountAllowance = { ratePerSecond: 0, burst: 0 };
 
+/** Another node that grants tokens starts without the burst, so this node may grant the rest of it. */
+const shareOf = ({ burst, ratePerSecond }: AccountAllowance, share: number): AccountAllowance => ({
+  ratePerSecond: ratePerSecond * share,
+  burst,
+});
+
 /** The capacity is at least one token; otherwise an account with a burst below one would never get any. */
 const tokenRateOf = ({ burst, ratePerSecond }: AccountAllowance): TokenRate => ({
   tokensPerSecond: ratePerSecond,
@@ -47,12 +53,14 @@
   const queueOf = (account: AccountId): TokenRequestQueue => {
     const known = queues.get(account);
     if (known) return known;
-    const allowance = createEffectiveAllowance(
+    const whole = createEffectiveAllowance(
       clock,
       () => options.allowanceOf(account) ?? NO_ALLOWANCE,
     );
+    const allowance = (): AccountAllowance => shareOf(whole(), options.share());
     const age = clock.monotonicMilliseconds() - startedMilliseconds;
-    const startsFull = options.isFirstStart && age < FIRST_START_PERIOD_MILLISECONDS;
+    const startsFull =
+      options.isFirstStart && age < FIRST_START_PERIOD_MILLISECONDS && !options.hasLostNodes();
     const { burst } = allowance();
     const initialTokens = startsFull ? burst : Math.min(burst, MOVED_BUCKET_TOKENS);
     const bucket = createTokenBucket(clock, () => tokenRateOf(allowance()), initialTokens);
--- a/packages/limits/src/lib/ledger/createLedgerRateLimiter.test.ts
+++ b/packages/limits/src/lib/ledger/createLedgerRateLimiter.test.ts
@@ -29,7 +29,12 @@
 function createFixture(nodes: number, isFirstStart: boolean): Fixture {
   const clock = createFakeClock();
   const allowanceOf = () => ({ ratePerSecond: RATE, burst: BURST });
-  let ledger = createAccountLedger(clock, { allowanceOf, isFirstStart });
+  let ledger = createAccountLedger(clock, {
+    allowanceOf,
+    isFirstStart,
+    share: () => 1,
+    hasLostNodes: () => false,
+  });
   let isReachable = true;
   const createLimiter = (delay: number, nodeClock: Clock): LedgerRateLimiter =>
     createLedgerRateLimiter({
@@ -53,7 +58,12 @@
       createLimiter(index % 2 === 0 ? 1 : 30, clock),
     ),
     replaceLedger: () => {
-      ledger = createAccountLedger(clock, { allowanceOf, isFirstStart: false });
+      ledger = createAccountLedger(clock, {
+        allowanceOf,
+        isFirstStart: false,
+        share: () => 1,
+        hasLostNodes: () => false,
+      });
     },
     setReachable: (reachable) => {
       isReachable = reachable;
--- a/packages/sidecar/src/lib/channel/PeerLink.ts
+++ b/packages/sidecar/src/lib/channel/PeerLink.ts
@@ -22,5 +22,7 @@
   readonly exchange: (fields: ExchangeFields) => Promise<ExchangeFields | undefined>;
   /** Tells the node of requests that may have crashed upstreams of its service. */
   readonly shareSuspects: (suspects: readonly Suspect[]) => void;
+  /** @returns Whether its connection is open. */
+  readonly isOpen: () => boolean;
   readonly close: () => void;
 }
--- a/packages/sidecar/src/lib/channel/PeerLinkOptions.ts
+++ b/packages/sidecar/src/lib/channel/PeerLinkOptions.ts
@@ -9,6 +9,8 @@
   readonly logger: EventLogger;
   /** Ticker that all links share. */
   readonly ticker: Ticker;
+  /** Called for each message of the other node. */
+  readonly onReceived: () => void;
   /** Identity of this node. */
   readonly self: NodeIdentity;
   /** "address:port" of the other node. */
--- a/packages/sidecar/src/lib/channel/createLinkConnector.ts
+++ b/packages/sidecar/src/lib/channel/createLinkConnector.ts
@@ -63,6 +63,7 @@
       const socket = openSocket(address);
       let stopTimer: (() => void) | undefined;
       const onFrame = (frame: Frame, frames: FrameConnection): void => {
+        options.onReceived();
         if (frame.$case !== 'hello') {
           listener.onFrame(frame);
           return;
--- a/packages/sidecar/src/lib/channel/createPeerLink.test.ts
+++ b/packages/sidecar/src/lib/channel/createPeerLink.test.ts
@@ -109,7 +109,7 @@
 ) {
   const self = { host: 'serving' as HostId, incarnation };
   const listener = createPeerListener(
-    { clock: sessionClock, logger: createSilentLogger(), self },
+    { clock: sessionClock, logger: createSilentLogger(), self, onReceived: () => undefined },
     {
       serve,
       grant: async () => ({ tokens: 1, retryAfterMilliseconds: 0 }),
@@ -128,6 +128,7 @@
     logger: createSilentLogger(),
     ticker: createTicker(clock, 50),
     self: { host: 'entry' as HostId, incarnation: FIRST },
+    onReceived: () => undefined,
     address,
   });
 }
--- a/packages/sidecar/src/lib/channel/createPeerLink.ts
+++ b/packages/sidecar/src/lib/channel/createPeerLink.ts
@@ -252,6 +252,7 @@
         connection?.frames.send({ $case: 'suspects', value: toSuspectsMessage(suspects) });
       });
     },
+    isOpen: () => connector.current() !== undefined,
     close: () => {
       stopChecking?.();
       connector.close();
--- a/packages/sidecar/src/lib/channel/createPeerListener.ts
+++ b/packages/sidecar/src/lib/channel/createPeerListener.ts
@@ -17,6 +17,8 @@
 /** Listener for the connections of other nodes. */
 export interface PeerListener {
   readonly listen: (address: string) => Promise<void>;
+  /** @returns Whether the connection of any other node is open. */
+  readonly hasOpen: () => boolean;
   /** Closes the listener and all connections. */
   readonly close: () => void;
 }
@@ -27,6 +29,8 @@
   readonly logger: EventLogger;
   /** This node. */
   readonly self: NodeIdentity;
+  /** Called for each message of another node. */
+  readonly onReceived: () => void;
 }
 
 /**
@@ -41,7 +45,7 @@
   options: PeerListenerOptions,
   peerHandlers: PeerHandlers,
 ): PeerListener {
-  const { clock, logger, self } = options;
+  const { clock, logger, onReceived, self } = options;
   const sessions = new Map<string, PeerSession>();
   let lastSession = 0;
   const sockets = new Set<Socket>();
@@ -96,7 +100,10 @@
     };
     sockets.add(socket);
     createFrameConnection(clock, socket, {
-      onFrame: (frame, connection) => handlers[frame.$case]?.(frame.value as never, connection),
+      onFrame: (frame, connection) => {
+        onReceived();
+        handlers[frame.$case]?.(frame.value as never, connection);
+      },
       onError: (kind, error) => logger.log('frameFailed', { kind, error: String(error) }),
       onClose: (connection) => {
         sockets.delete(socket);
@@ -108,6 +115,7 @@
   const server = createServer({ noDelay: true }, accept);
   return {
     listen: (address) => listenAt(server, address),
+    hasOpen: () => sockets.size > 0,
     close: () => {
       server.close();
       sockets.forEach((socket) => socket.destroy());
--- a/packages/sidecar/src/lib/channel/malformedMessages.test.ts
+++ b/packages/sidecar/src/lib/channel/malformedMessages.test.ts
@@ -26,7 +26,7 @@
 
 async function startNode(changed: Partial<PeerHandlers>) {
   const listener = createPeerListener(
-    { clock, logger, self: identity('serving') },
+    { clock, logger, self: identity('serving'), onReceived: () => undefined },
     {
       serve: async () => ({ answer: refuse('queue-full'), load: undefined }),
       grant: async () => ({ tokens: 1, retryAfterMilliseconds: 0 }),
@@ -42,6 +42,7 @@
     logger,
     ticker: createTicker(clock, 50),
     self: identity('entry'),
+    onReceived: () => undefined,
     address,
   });
   const close = (): void => {
--- a/packages/sidecar/src/lib/directory/MemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/MemberDirectory.ts
@@ -30,6 +30,15 @@
   readonly announcePolicy: () => void;
   /** @returns All other nodes that are considered alive. */
   readonly livePeers: () => readonly Member[];
+  /** Records that another node has sent something, also outside of the directory. */
+  readonly recordContact: () => void;
+  /**
+   * @returns Share of the fleet's rates that this node may grant: all of it, but only that of one node if it has no contact to any
+   *   other one, since it can't tell whether they have failed or it is cut off.
+   */
+  readonly rateShare: () => number;
+  /** @returns Whether any known node is considered dead or has left. */
+  readonly hasLostNodes: () => boolean;
   /** @returns A number that increases with each change of a node's record or liveness, including this node's. */
   readonly revision: () => number;
   /** @returns The message that this node currently sends, without members. */
--- a/packages/sidecar/src/lib/directory/createMemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/createMemberDirectory.ts
@@ -39,6 +39,8 @@
   readonly policyApplyMilliseconds: number;
   /** @returns Revision of this node's current policy; 0 if there is none. */
   readonly policyRevision: () => number;
+  /** @returns Whether a connection to or from any other node is open. */
+  readonly hasConnections: () => boolean;
   /** Called when another node has a newer policy. */
   readonly onNewerPolicy: (announcement: PolicyAnnouncement) => void;
   /** Called when this node starts or stops following the policy in the store, for itself and its zone. */
@@ -82,6 +84,11 @@
   });
   let isClosed = false;
   let wasRegistered = false;
+  let lastContactMilliseconds = clock.monotonicMilliseconds();
+  let rejoinedMilliseconds = -Infinity;
+  let hasContact = false;
+  let disconnectedMilliseconds: number | undefined;
+  let isIsolated = false;
   let rounds = 0;
   let contacts = 0;
   table.merge(self);
@@ -133,7 +140,51 @@
     isUpdate,
   });
 
+  const silenceMilliseconds = (): number => clock.monotonicMilliseconds() - lastContactMilliseconds;
+
+  const recordContact = (): void => {
+    const now = clock.monotonicMilliseconds();
+    const wasSilent = silenceMilliseconds() > directoryTimes.isolationTimeout;
+    const wasDisconnected = now - (disconnectedMilliseconds ?? now) > directoryTimes.reconnectTime;
+    lastContactMilliseconds = now;
+    disconnectedMilliseconds = undefined;
+    hasContact = true;
+    if (!wasSilent && !wasDisconnected) return;
+    rejoinedMilliseconds = now;
+    // That this node was cut off explains why it could not reach the others.
+    failures.clear();
+    others().forEach(({ host }) => table.setAlive(host, true));
+    // A newer record shows them that it is back.
+    if (!isClosed) void changeSelf({});
+  };
+
+  /** Nodes that have not left, including those that are considered dead. */
+  const nodeCount = memoizeByRevision(
+    table.revision,
+    () => table.all().filter(({ state }) => state !== 'left').length,
+  );
+
+  const rateShare = (): number => {
+    const nodes = nodeCount();
+    const sinceRejoining = clock.monotonicMilliseconds() - rejoinedMilliseconds;
+    // If all connections are reset, the others take this node for dead before the timeout.
+    const isDisconnected = hasContact && !options.hasConnections();
+    if (isDisconnected) disconnectedMilliseconds ??= clock.monotonicMilliseconds();
+    const isAlone =
+      isDisconnected ||
+      silenceMilliseconds() > directoryTimes.isolationTimeout ||
+      sinceRejoining < directoryTimes.rejoinDelay;
+    const isNowIsolated = nodes > 1 && isAlone;
+    if (isNowIsolated !== isIsolated) {
+      isIsolated = isNowIsolated;
+      const silence = Math.round(silenceMilliseconds());
+      logger.log('isolationChanged', { isIsolated, nodes, silenceMilliseconds: silence });
+    }
+    return isIsolated ? 1 / nodes : 1;
+  };
+
   const markSeen = (member: Member): void => {
+    recordContact();
     failures.delete(member.host);
     lastSeen.set(member.host, clock.monotonicMilliseconds());
     table.setAlive(member.host, true);
@@ -398,6 +449,7 @@
     },
     whenInformed: () => informed,
     start: () => {
+      lastContactMilliseconds = clock.monotonicMilliseconds();
       if (options.isFirstStart) resolveInformed();
       else void informAfterRestart();
       registration.start();
@@ -416,6 +468,11 @@
       });
     },
     livePeers,
+    recordContact,
+    rateShare,
+    hasLostNodes: memoizeByRevision(table.revision, () =>
+      table.all().some(({ alive, state }) => !alive || state === 'left'),
+    ),
     revision: table.revision,
     currentMessage: () => message([], true),
     receive: (received) => {
--- a/packages/sidecar/src/lib/directory/directoryTimes.ts
+++ b/packages/sidecar/src/lib/directory/directoryTimes.ts
@@ -18,6 +18,15 @@
   remotePolicyDelay: 600,
   /** Time without contact after which a node that has no record in the store is removed. */
   removalTimeout: 20_000,
+  /**
+   * Time without contact to any other node after which a node is isolated: longer than the longest pause between two exchanges. The
+   * others take it for dead at about the same time, after two exchanges have timed out.
+   */
+  isolationTimeout: 2_200,
+  /** Time without any connection after which other nodes may take a node for dead, because connections to it are refused. */
+  reconnectTime: 250,
+  /** Time for which a node still counts as isolated after it has regained contact, until the others use its ledgers again. */
+  rejoinDelay: 600,
   /** Interval between a relay's reads of all records in the store. */
   storeReadInterval: 30_000,
   /** Delay before records are read again if the store returned a state older than this node's own record. */
--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -120,6 +120,7 @@
       get: () => {
         throw new Error('there is no other node');
       },
+      hasOpen: () => false,
       close: () => undefined,
     },
     isStopping: () => refusesCallers,
--- a/packages/sidecar/src/lib/peers/createPeerLinks.ts
+++ b/packages/sidecar/src/lib/peers/createPeerLinks.ts
@@ -5,6 +5,8 @@
 /** Links to other nodes, by address. */
 export interface PeerLinks {
   readonly get: (address: string) => PeerLink;
+  /** @returns Whether the connection of any link is open. */
+  readonly hasOpen: () => boolean;
   readonly close: () => void;
 }
 
@@ -23,6 +25,7 @@
       links.set(address, created);
       return created;
     },
+    hasOpen: () => [...links.values()].some((link) => link.isOpen()),
     close: () => links.forEach((link) => link.close()),
   };
 }
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -105,7 +105,13 @@
   // Upstreams occupy a slot while they wait for nested calls, so their latency is a poor signal of their load.
   const admission = createAdmissionController({ clock, adaptsToLatency: false });
   const ticker = createTicker(clock, channelTimes.checkInterval);
-  const links = createPeerLinks({ clock, logger, ticker, self: { host, incarnation } });
+  const links = createPeerLinks({
+    clock,
+    logger,
+    ticker,
+    self: { host, incarnation },
+    onReceived: () => recordContact(),
+  });
   const lag = createLagMonitor(clock, logger);
   let isStopping = false;
   let isDraining = false;
@@ -151,11 +157,16 @@
     policyApplyMilliseconds: options.policyApplyMilliseconds,
     policyRevision,
     peers: { exchange: exchangeWithPeer },
+    hasConnections: () => links.hasOpen() || hasIncoming(),
     onNewerPolicy: policyFetcher.announce,
     onFollowPolicy: policy.setFollowing,
     onEarlierDeparture: (departure) => restoreDeparture(departure),
   });
 
+  function recordContact(): void {
+    directory.recordContact();
+  }
+
   async function requestPolicy(address: string): Promise<Uint8Array | undefined> {
     const fields = toExchangeFields(directory.currentMessage(), undefined, true);
     return (await links.get(address).exchange(fields))?.policy;
@@ -201,7 +212,12 @@
   }
 
   const allowanceOf = (account: AccountId) => policy.current()?.accounts.get(account);
-  const ledger = createAccountLedger(clock, { allowanceOf, isFirstStart: options.isFirstStart });
+  const ledger = createAccountLedger(clock, {
+    allowanceOf,
+    isFirstStart: options.isFirstStart,
+    share: directory.rateShare,
+    hasLostNodes: directory.hasLostNodes,
+  });
   const locator = createLedgerLocator(directory);
   const { suspect, whenInformed } = directory;
   const rateLimiter = createLedgerRateLimiter({
@@ -290,7 +306,7 @@
     return toExchangeFields(answer, fields.wantsPolicy ? policy.currentBytes() : undefined, false);
   };
   const peerListener = createPeerListener(
-    { clock, logger, self: { host, incarnation } },
+    { clock, logger, self: { host, incarnation }, onReceived: recordContact },
     {
       serve: callServer.serve,
       grant: ledger.grant,
@@ -299,6 +315,10 @@
     },
   );
 
+  function hasIncoming(): boolean {
+    return peerListener.hasOpen();
+  }
+
   const addGauges = (): void => {
     const { addGauge } = metrics;
     const { load } = admission;
--- a/packages/sidecar/src/lib/quota/createLedgerPeers.test.ts
+++ b/packages/sidecar/src/lib/quota/createLedgerPeers.test.ts
@@ -4,6 +4,7 @@
 import { createSilentLogger } from '@buckthornslip/telemetry';
 import t from 'tap';
 
+import { channelTimes } from '../channel/channelTimes';
 import type { PeerLink } from '../channel/PeerLink';
 import type { DirectoryFleet } from '../testing/createDirectoryFleet';
 import { createDirectoryFleet } from '../testing/createDirectoryFleet';
@@ -23,11 +24,18 @@
 const HOSTS = Array.from({ length: 16 }, (_, index) => `host-${index}`);
 
 /** Ledgers of the nodes of a directory fleet, connected by function calls. */
-function createLedgers({ clock, get }: DirectoryFleet) {
-  const ledgers = HOSTS.map(() =>
-    createAccountLedger(clock, { allowanceOf: () => ALLOWANCE, isFirstStart: false }),
+function createLedgers(
+  { clock, get, unreachable }: DirectoryFleet,
+  { resetByCut = false, isFirstStart = false } = {},
+) {
+  const ledgers = HOSTS.map((host) =>
+    createAccountLedger(clock, {
+      allowanceOf: () => ALLOWANCE,
+      isFirstStart,
+      share: () => get(host).rateShare(),
+      hasLostNodes: () => get(host).hasLostNodes(),
+    }),
   );
-  const ledgerAt = (address: string) => ledgers[HOSTS.indexOf(address.split(':')[0] as string)];
   return HOSTS.map((host, index) => {
     const directory = get(host);
     return createLedgerPeers({
@@ -38,10 +46,17 @@
       links: {
         get: (address) =>
           ({
-            requestTokens: (request: LedgerRequest) => ledgerAt(address)?.grant(request),
+            requestTokens: async (request: LedgerRequest) => {
+              const other = address.split(':')[0] as string;
+              if (!unreachable.has(host) && !unreachable.has(other)) {
+                return ledgers[HOSTS.indexOf(other)]?.grant(request);
+              }
+              if (!resetByCut) await clock.sleep(channelTimes.tokenTimeout);
+              return undefined;
+            },
           }) as unknown as PeerLink,
       },
-      suspect: () => undefined,
+      suspect: directory.suspect,
       whenInformed: directory.whenInformed,
     });
   });
@@ -80,3 +95,56 @@
     test.ok(granted >= 0.2 * ALLOWANCE.ratePerSecond * seconds, `${granted} tokens`);
   });
 }
+
+/** Time for which a node is cut off, in milliseconds. */
+const CUT_MILLISECONDS = 10_000;
+
+// Guards against an account that gets its whole rate twice: from a node that is cut off and takes all others for dead, and from
+// the others.
+const CUTS = [
+  { isKeeper: false, resetByCut: false },
+  { isKeeper: true, resetByCut: false },
+  { isKeeper: false, resetByCut: true },
+  { isKeeper: true, resetByCut: true },
+];
+for (const { isKeeper, resetByCut } of CUTS) {
+  const role = isKeeper ? 'that keeps the ledger' : 'without the ledger';
+  const connections = resetByCut ? 'connections are reset' : 'connections are silent';
+  void t.test(`a node ${role} is cut off, ${connections}`, async (test) => {
+    const fleet = createDirectoryFleet(202_612_053, { resetByCut });
+    HOSTS.forEach((host) => fleet.start(host));
+    await fleet.clock.advance(10_000);
+    const ledgers = createLedgers(fleet, { resetByCut, isFirstStart: true });
+    const keeper = createLedgerLocator(fleet.get('host-0')).locate(ACCOUNT)?.host as string;
+    const cut = isKeeper ? keeper : (HOSTS.find((host) => host !== keeper) as string);
+    const granted = new Map<number, number>();
+    const countTokens = ({ tokens }: LedgerGrant): void => {
+      const second = Math.floor(fleet.clock.monotonicMilliseconds() / 1_000);
+      granted.set(second, (granted.get(second) ?? 0) + tokens);
+    };
+    const play = async (milliseconds: number): Promise<void> => {
+      for (let elapsed = 0; elapsed < milliseconds; elapsed += 50) {
+        ledgers.forEach((ledger) => {
+          void ledger
+            .request({ account: ACCOUNT, needed: 3, ahead: 0 })
+            .then((result) => result.ok && countTokens(result.value));
+        });
+        await fleet.clock.advance(50);
+      }
+    };
+    await play(5_000);
+    fleet.unreachable.add(cut);
+    await play(CUT_MILLISECONDS);
+    fleet.unreachable.delete(cut);
+    await play(5_000);
+    const seconds = [...granted.values()];
+    const windows = seconds.map((_tokens, second) =>
+      seconds.slice(second, second + 5).reduce((sum, tokens) => sum + tokens, 0),
+    );
+    const allowed = (ALLOWANCE.ratePerSecond * 5 + ALLOWANCE.burst) * 1.1 + 20;
+    const most = Math.max(...windows);
+    test.ok(most <= allowed, `${most} tokens in 5 s, ${allowed} allowed`);
+    const least = Math.min(...windows.slice(0, -4));
+    test.ok(least >= ALLOWANCE.ratePerSecond * 5 * 0.5, `${least} tokens in 5 s at least`);
+  });
+}
--- a/packages/sidecar/src/lib/testing/createDirectoryFleet.ts
+++ b/packages/sidecar/src/lib/testing/createDirectoryFleet.ts
@@ -35,6 +35,12 @@
   readonly records: number;
 }
 
+/** Options of a fleet. */
+interface FleetOptions {
+  /** Whether the connections of hosts that are cut off are reset, so that messages fail at once. */
+  readonly resetByCut?: boolean;
+}
+
 /** Directories of many nodes on one fake clock and one store, connected by function calls. */
 export interface DirectoryFleet {
   readonly clock: FakeClock;
@@ -104,9 +110,13 @@
  * Creates a fleet without nodes.
  *
  * @param seed - Seed of the nodes' random numbers.
+ * @param options - How connections fail.
  * @returns The fleet.
  */
-export function createDirectoryFleet(seed: number): DirectoryFleet {
+export function createDirectoryFleet(
+  seed: number,
+  { resetByCut = false }: FleetOptions = {},
+): DirectoryFleet {
   const clock = createFakeClock();
   const random = createSeededRandom(seed);
   const store = createMemoryStore({ clock });
@@ -127,7 +137,7 @@
     sent: DirectoryMessage,
   ): Promise<DirectoryMessage | undefined> => {
     if (unreachable.has(host) || unreachable.has(sent.from.host)) {
-      await clock.sleep(channelTimes.exchangeTimeout);
+      if (!resetByCut) await clock.sleep(channelTimes.exchangeTimeout);
       return undefined;
     }
     const receiver = directories.get(host);
@@ -182,6 +192,7 @@
       isFirstStart: !hasStarted.has(host),
       policyApplyMilliseconds: POLICY_APPLY_MILLISECONDS,
       policyRevision: () => policyRevision(host),
+      hasConnections: () => !resetByCut || !unreachable.has(host),
       onNewerPolicy: fetcher.announce,
       onFollowPolicy: (follows) => {
         policy.setFollowing(follows);
--- a/packages/telemetry/src/lib/events/sidecarEvents.ts
+++ b/packages/telemetry/src/lib/events/sidecarEvents.ts
@@ -81,6 +81,12 @@
   },
   announcementRejected: { number: 7101, level: 'warn', message: 'malformed announcement ignored' },
   memberChanged: { number: 7200, level: 'info', message: 'state of another node changed' },
+  isolationChanged: {
+    number: 7210,
+    level: 'warn',
+    message:
+      'contact to all other nodes was lost or regained; limits are granted in part or as a whole',
+  },
   memberUnreachable: { number: 7201, level: 'warn', message: 'node does not respond' },
   memberForgotten: {
     number: 7202,
