sidecar: the first part of a streamed body is read before it is forwarded

Streamed bodies of a declared length were passed on with nothing read, so that two requests with bodies of equal length could not be told apart. The first 16 KiB are read now, which the recognition of crashing requests needs. The new test fails before (head of 0 bytes).

--- a/packages/sidecar/src/lib/http/readRequestBody.test.ts
+++ b/packages/sidecar/src/lib/http/readRequestBody.test.ts
@@ -80,3 +80,33 @@
   server.close();
   server.closeAllConnections();
 });
+
+// Guards against streamed bodies of equal length that can't be told apart when one of them crashes upstreams.
+void t.test('a streamed body begins with a part that has been read', async (test) => {
+  const heads: number[] = [];
+  const server = createServer((request, response) => {
+    void readRequestBody(request, {
+      acceptedBytes: LIMIT_BYTES,
+      bufferedBytes: BUFFERED_BYTES,
+      onExceeded: () => undefined,
+    }).then((read) => {
+      if (read.ok && read.value.kind === 'stream') heads.push(read.value.head.length);
+      request.resume();
+      response.end();
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => {
+    const headers = { 'Content-Length': '70000' };
+    httpRequest({ host: '127.0.0.1', port, method: 'POST', headers })
+      .once('response', resolve)
+      .end(Buffer.alloc(70_000));
+  });
+  test.equal(heads.length, 1);
+  test.ok((heads[0] as number) >= 16_384);
+  server.close();
+  server.closeAllConnections();
+});
--- a/packages/sidecar/src/lib/http/readRequestBody.ts
+++ b/packages/sidecar/src/lib/http/readRequestBody.ts
@@ -6,6 +6,9 @@
 import { limitBody } from './limitBody';
 import type { RequestBody } from './RequestBody';
 
+/** Part of a streamed body that is read first, in bytes. Requests with equal lengths are told apart by it. */
+const MINIMUM_HEAD_BYTES = 16_384;
+
 const EMPTY_BODY: RequestBody = { kind: 'whole', bytes: Buffer.alloc(0) };
 
 /** Why there is no body: the caller disconnected before its end, or it exceeds the limit. */
@@ -47,24 +50,22 @@
   if (length !== undefined && length > acceptedBytes) {
     return Promise.resolve(failure('body-too-large'));
   }
-  if (length !== undefined && length > bufferedBytes) {
-    const head = Buffer.alloc(0);
-    return Promise.resolve(success({ kind: 'stream', stream: request, length, head }));
-  }
+  const isStreamed = length !== undefined && length > bufferedBytes;
+  const keptBytes = isStreamed ? MINIMUM_HEAD_BYTES : Math.min(bufferedBytes, acceptedBytes);
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let size = 0;
     const onData = (chunk: Buffer): void => {
       chunks.push(chunk);
       size += chunk.length;
-      if (size <= Math.min(bufferedBytes, acceptedBytes)) return;
+      if (size <= keptBytes) return;
       request.pause();
       request.off('data', onData);
       if (size > acceptedBytes) {
         resolve(failure('body-too-large'));
         return;
       }
-      const stream = limitBody(request, acceptedBytes - size, onExceeded);
+      const stream = isStreamed ? request : limitBody(request, acceptedBytes - size, onExceeded);
       resolve(success({ kind: 'stream', stream, length, head: Buffer.concat(chunks) }));
     };
     request.on('data', onData);
