--- a/packages/calls/src/lib/http/fingerprint.ts
+++ b/packages/calls/src/lib/http/fingerprint.ts
@@ -1,6 +1,9 @@
 import { createHash } from 'node:crypto';
 
-import type { RequestBody } from './RequestBody';
+/** What is compared of a body. */
+type ComparedBody =
+  | { readonly kind: 'whole'; readonly bytes: Buffer }
+  | { readonly kind: 'stream'; readonly length: number | undefined };
 
 /** Maximum length of text that is not hashed, in characters. Below it, a digest costs more than it saves. */
 const UNHASHED_CHARACTERS = 128;
@@ -11,9 +14,9 @@
  * @param parts - Parts to compare, such as account, method and target.
  * @param body - Body of the request. Its bytes are compared if they are in memory, otherwise its declared length.
  * @returns SHA-256 in Base64, or the plain parts of a short request without a body, which cannot equal a digest.
- * @internal
+ * @public
  */
-export function fingerprint(parts: readonly string[], body: RequestBody): string {
+export function fingerprint(parts: readonly string[], body: ComparedBody): string {
   const text = parts.join('\n');
   const isEmpty = body.kind === 'whole' && body.bytes.length === 0;
   // Joined by spaces: a digest contains none, and a header value cannot contain line breaks.
--- a/packages/calls/src/lib/http/refusesConnections.ts
+++ b/packages/calls/src/lib/http/refusesConnections.ts
@@ -1,22 +1,26 @@
 import { connect } from 'node:net';
 
-import type { ConnectionPool } from './ConnectionPool';
+/** Where to connect. */
+interface Address {
+  readonly host: string;
+  readonly port: number;
+}
 
 /** Timeout for connecting, in milliseconds. */
 const CONNECT_TIMEOUT_MILLISECONDS = 300;
 
 /**
- * Tries once to connect to the address of a pool.
+ * Tries once to connect to an address.
  *
- * @param pool - Connection pool with the address.
+ * @param address - Host and port.
  * @returns Whether the connection was refused, which proves that no process is listening there.
- * @internal
+ * @public
  */
-export function refusesConnections(pool: ConnectionPool): Promise<boolean> {
+export function refusesConnections(address: Address): Promise<boolean> {
   return new Promise((resolve) => {
     const socket = connect({
-      host: pool.host,
-      port: pool.port,
+      host: address.host,
+      port: address.port,
       timeout: CONNECT_TIMEOUT_MILLISECONDS,
     });
     const finish = (refused: boolean): void => {
--- a/packages/calls/src/lib/suspects/SuspectTable.ts
+++ b/packages/calls/src/lib/suspects/SuspectTable.ts
@@ -24,11 +24,15 @@
   /** Records that a call has started at the upstream. */
   readonly begin: (fingerprint: string) => void;
 
-  /** Records that a call has ended. A complete answer clears the request. */
+  /** Records that a call has ended. A complete answer clears the request of the failures that are known so far. */
   readonly end: (fingerprint: string, answered: boolean) => void;
 
-  /** Marks all running calls as suspects after the upstream's process failed. */
-  readonly upstreamFailed: () => void;
+  /**
+   * Marks all running calls as suspects after the upstream's process failed.
+   *
+   * @param failureId - Identifies the failure, if other nodes may report it too.
+   */
+  readonly upstreamFailed: (failureId?: string) => void;
 
   /** Merges suspects that another node of the service reported. */
   readonly merge: (suspects: readonly Suspect[]) => void;
--- a/packages/calls/src/lib/suspects/createSuspectTable.ts
+++ b/packages/calls/src/lib/suspects/createSuspectTable.ts
@@ -18,12 +18,19 @@
 /** Maximum number of suspects in the table. */
 const MAXIMUM_SUSPECTS = 1_000;
 
+/** Maximum number of failures that are told apart for one suspect. */
+const MAXIMUM_FAILURES = 16;
+
 interface SuspectRecord {
-  readonly failures: number;
+  readonly failureIds: ReadonlySet<string>;
+  /** Failures before a complete answer to the request; other nodes may still report them. */
+  readonly clearedIds: ReadonlySet<string>;
   readonly refusedUntilMilliseconds: number;
   readonly expiresMilliseconds: number;
 }
 
+const NO_IDS: ReadonlySet<string> = new Set();
+
 function refusalMilliseconds(failures: number, failuresToRefuse: number): number {
   if (failures < failuresToRefuse) return 0;
   // Each further failure doubles the time, so that a caller that repeats a request for hours crashes few upstreams.
@@ -31,6 +38,17 @@
   return Math.min(MAXIMUM_REFUSAL_MILLISECONDS, doubled);
 }
 
+/** @returns The identifier of a failure that its reporter only counts. */
+function countedFailureId(count: number): string {
+  return `#${count}`;
+}
+
+function failureIdsOf({ failureIds = [], failures }: Suspect): readonly string[] {
+  if (failureIds.length > 0) return failureIds.slice(0, MAXIMUM_FAILURES);
+  const length = Math.min(failures, MAXIMUM_FAILURES);
+  return Array.from({ length }, (_unused, index) => countedFailureId(index + 1));
+}
+
 /**
  * Creates the suspect table of one node.
  *
@@ -56,41 +74,78 @@
     return undefined;
   };
 
-  const store = (fingerprint: string, failures: number, remainingMilliseconds?: number): void => {
+  /**
+   * Adds failures to a suspect.
+   *
+   * @param remainingMilliseconds - Time for which the reporting node still keeps the suspect; absent for a new failure.
+   */
+  const add = (
+    fingerprint: string,
+    failureIds: readonly string[],
+    remainingMilliseconds?: number,
+  ): void => {
+    const known = findCurrent(fingerprint);
+    const clearedIds = known?.clearedIds ?? NO_IDS;
+    const counted = failureIds.filter((id) => !clearedIds.has(id));
+    const all = new Set([...(known?.failureIds ?? NO_IDS), ...counted].slice(0, MAXIMUM_FAILURES));
+    if (all.size === (known?.failureIds.size ?? 0)) return;
+    // Neither this node nor the other one knew all of the failures, so the time starts with their sum.
+    const isNew = remainingMilliseconds === undefined || all.size > counted.length;
     const nowMilliseconds = clock.monotonicMilliseconds();
-    const refusal =
-      remainingMilliseconds === undefined
-        ? refusalMilliseconds(failures, failuresToRefuse)
-        : Math.max(0, remainingMilliseconds - SUSPECT_MILLISECONDS);
-    const refusedUntilMilliseconds = nowMilliseconds + refusal;
+    const refusal = isNew
+      ? refusalMilliseconds(all.size, failuresToRefuse)
+      : Math.max(0, remainingMilliseconds - SUSPECT_MILLISECONDS);
+    const kept = isNew ? refusal + SUSPECT_MILLISECONDS : remainingMilliseconds;
     // Reinserting moves the record to the end, so that the first record of the map is the oldest.
     suspects.delete(fingerprint);
     suspects.set(fingerprint, {
-      failures,
-      refusedUntilMilliseconds,
-      expiresMilliseconds:
-        nowMilliseconds + (remainingMilliseconds ?? refusal + SUSPECT_MILLISECONDS),
+      failureIds: all,
+      clearedIds,
+      refusedUntilMilliseconds: nowMilliseconds + refusal,
+      expiresMilliseconds: nowMilliseconds + kept,
     });
     const oldest = suspects.keys().next().value;
     if (suspects.size > MAXIMUM_SUSPECTS && oldest !== undefined) suspects.delete(oldest);
   };
 
+  const nextCountedId = (fingerprint: string): string => {
+    const known = findCurrent(fingerprint);
+    return countedFailureId((known?.failureIds.size ?? 0) + (known?.clearedIds.size ?? 0) + 1);
+  };
+
+  const clear = (fingerprint: string): void => {
+    const known = findCurrent(fingerprint);
+    if (!known) return;
+    const clearedIds = new Set([...known.clearedIds, ...known.failureIds]);
+    suspects.set(fingerprint, {
+      ...known,
+      failureIds: NO_IDS,
+      clearedIds: new Set([...clearedIds].slice(-MAXIMUM_FAILURES)),
+      refusedUntilMilliseconds: 0,
+    });
+  };
+
+  const toSuspect = (fingerprint: string, { failureIds }: SuspectRecord): Suspect => ({
+    fingerprint,
+    failures: failureIds.size,
+    failureIds: [...failureIds],
+  });
+
   return {
     classify: (fingerprint) => {
       const record = findCurrent(fingerprint);
-      if (!record) return 'clear';
+      if (!record || record.failureIds.size === 0) return 'clear';
       const isRefused = record.refusedUntilMilliseconds > clock.monotonicMilliseconds();
       return isRefused ? 'refused' : 'isolated';
     },
     isEmpty: () => suspects.size === 0,
-    failuresOf: (fingerprint) => findCurrent(fingerprint)?.failures ?? 0,
+    failuresOf: (fingerprint) => findCurrent(fingerprint)?.failureIds.size ?? 0,
     list: (minimumFailures) =>
       [...suspects.keys()].flatMap((fingerprint) => {
         const record = findCurrent(fingerprint);
-        if (!record || record.failures < minimumFailures) return [];
-        const { expiresMilliseconds, failures } = record;
-        const remainingMilliseconds = expiresMilliseconds - clock.monotonicMilliseconds();
-        return [{ fingerprint, failures, remainingMilliseconds }];
+        if (!record || record.failureIds.size < minimumFailures) return [];
+        const remainingMilliseconds = record.expiresMilliseconds - clock.monotonicMilliseconds();
+        return [{ ...toSuspect(fingerprint, record), remainingMilliseconds }];
       }),
     begin: (fingerprint) => {
       running.set(fingerprint, (running.get(fingerprint) ?? 0) + 1);
@@ -99,22 +154,21 @@
       const others = (running.get(fingerprint) ?? 1) - 1;
       if (others > 0) running.set(fingerprint, others);
       else running.delete(fingerprint);
-      if (answered) suspects.delete(fingerprint);
+      if (answered) clear(fingerprint);
     },
-    upstreamFailed: () => {
-      const found = [...running.keys()].map((fingerprint) => {
-        const failures = (findCurrent(fingerprint)?.failures ?? 0) + 1;
-        store(fingerprint, failures);
-        return { fingerprint, failures };
+    upstreamFailed: (failureId) => {
+      const found = [...running.keys()].flatMap((fingerprint) => {
+        add(fingerprint, [failureId ?? nextCountedId(fingerprint)]);
+        const record = findCurrent(fingerprint);
+        return record ? [toSuspect(fingerprint, record)] : [];
       });
       running.clear();
       if (found.length > 0) share(found);
     },
     merge: (shared) => {
-      for (const { fingerprint, failures, remainingMilliseconds } of shared) {
-        const known = findCurrent(fingerprint)?.failures ?? 0;
-        if (failures > known) store(fingerprint, failures, remainingMilliseconds);
-      }
+      shared.forEach((suspect) =>
+        add(suspect.fingerprint, failureIdsOf(suspect), suspect.remainingMilliseconds),
+      );
     },
   };
 }
--- a/packages/sidecar/src/lib/channel/createLinkConnector.ts
+++ b/packages/sidecar/src/lib/channel/createLinkConnector.ts
@@ -30,6 +30,8 @@
 /** Callbacks of the connector. */
 interface ConnectorListener {
   readonly onFrame: (frame: Frame) => void;
+  /** Called with a new connection before it is used. */
+  readonly onOpen: (connection: LinkConnection) => void;
   readonly onLost: () => void;
 }
 
@@ -72,6 +74,7 @@
         opening = undefined;
         const { incarnation, session } = frame.value;
         open = { frames, incarnation, session };
+        listener.onOpen(open);
         resolve(open);
       };
       const onClose = (frames: FrameConnection): void => {
--- a/packages/sidecar/src/lib/channel/createPeerLink.test.ts
+++ b/packages/sidecar/src/lib/channel/createPeerLink.test.ts
@@ -13,6 +13,8 @@
 
 import type { AttemptResult } from '../serving/AttemptResult';
 import type { CallAttempt } from '../serving/CallAttempt';
+import { fingerprintOf } from '../serving/fingerprintOf';
+import type { InterruptedCall } from '../serving/InterruptedCall';
 import { reserveAddress } from '../testing/reserveAddress';
 import { createPeerLink } from './createPeerLink';
 import { createPeerListener } from './createPeerListener';
@@ -105,7 +107,7 @@
   incarnation: Incarnation,
   serve: PeerHandlers['serve'],
   sessionClock: Clock = clock,
-  mergeSuspects: PeerHandlers['mergeSuspects'] = () => undefined,
+  changed: Partial<PeerHandlers> = {},
 ) {
   const self = { host: 'serving' as HostId, incarnation };
   const listener = createPeerListener(
@@ -114,7 +116,9 @@
       serve,
       grant: async () => ({ tokens: 1, retryAfterMilliseconds: 0 }),
       exchange: (fields) => fields,
-      mergeSuspects,
+      mergeSuspects: () => undefined,
+      recordInterrupted: () => undefined,
+      ...changed,
     },
   );
   const address = await reserveAddress();
@@ -552,13 +556,14 @@
 void t.test('suspects are transferred unchanged', async (test) => {
   let merged: readonly Suspect[] = [];
   const serve = async (): Promise<AttemptResult> => answerOf('answer');
-  const node = await startNode(FIRST, serve, clock, (suspects) => {
+  const mergeSuspects = (suspects: readonly Suspect[]): void => {
     merged = suspects;
-  });
+  };
+  const node = await startNode(FIRST, serve, clock, { mergeSuspects });
   const link = openLink(node.address);
   const suspects = [
-    { fingerprint: 'new', failures: 1, remainingMilliseconds: undefined },
-    { fingerprint: 'known', failures: 3, remainingMilliseconds: 1_500 },
+    { fingerprint: 'new', failures: 1, failureIds: ['a'], remainingMilliseconds: undefined },
+    { fingerprint: 'known', failures: 3, failureIds: [], remainingMilliseconds: 1_500 },
   ];
   link.shareSuspects(suspects);
   await clock.sleep(100);
@@ -566,3 +571,69 @@
   link.close();
   node.close();
 });
+
+// Guards against a request that crashes whole hosts, whose nodes forget it: only the node that sent it knows what was lost.
+void t.test(
+  'a restarted node is told which calls were lost with its earlier process',
+  async (test) => {
+    const interrupted: InterruptedCall[] = [];
+    const recordInterrupted = (calls: readonly InterruptedCall[]): void => {
+      interrupted.push(...calls);
+    };
+    const earlier = await startNode(FIRST, () => new Promise(() => {}));
+    let { address } = earlier;
+    const relay = await createRelay(() => address);
+    const link = openLink(relay.address);
+    const calls = [
+      callOf({ repeatable: true }),
+      callOf({ repeatable: false, target: '/other' }),
+      callOf({ target: '/late' }, 300),
+    ];
+    const calling = Promise.all(calls.map((call) => link.call(call)));
+    await clock.sleep(100);
+    earlier.close();
+    relay.reset();
+    await clock.sleep(400);
+    const later = await startNode(SECOND, async () => answerOf('second'), clock, {
+      recordInterrupted,
+    });
+    address = later.address;
+    await calling;
+    await link.call(callOf({ target: '/next' }));
+    await clock.sleep(100);
+    test.same(
+      interrupted.map(({ fingerprint }) => fingerprint).sort(),
+      calls.map(fingerprintOf).sort(),
+    );
+    interrupted.forEach(({ ageMilliseconds }) => test.ok(ageMilliseconds >= 400));
+    link.close();
+    relay.close();
+    later.close();
+  },
+);
+
+// Guards against suspecting calls whose connection was lost, although the process that ran them is still there.
+void t.test(
+  'calls of a process that has not ended are not reported as interrupted',
+  async (test) => {
+    let reports = 0;
+    const recordInterrupted = (): void => {
+      reports += 1;
+    };
+    const serve: PeerHandlers['serve'] = ({ target }) =>
+      target === '/next' ? Promise.resolve(answerOf('next')) : new Promise(() => {});
+    const node = await startNode(FIRST, serve, clock, { recordInterrupted });
+    const relay = await createRelay(() => node.address);
+    const link = openLink(relay.address);
+    const calling = link.call(callOf({ repeatable: true }, 300));
+    await clock.sleep(100);
+    relay.reset();
+    await calling;
+    await clock.sleep(100);
+    await link.call(callOf({ target: '/next' }));
+    test.equal(reports, 0);
+    link.close();
+    relay.close();
+    node.close();
+  },
+);
--- a/packages/sidecar/src/lib/channel/createPeerLink.ts
+++ b/packages/sidecar/src/lib/channel/createPeerLink.ts
@@ -10,12 +10,13 @@
 import { channelTimes } from './channelTimes';
 import { createBodyReceiver } from './createBodyReceiver';
 import { createBodySender } from './createBodySender';
+import { createLostCalls } from './createLostCalls';
 import type { LinkConnection } from './createLinkConnector';
 import { createLinkConnector } from './createLinkConnector';
 import type { Frame } from './frameCodec';
 import type { ExchangeFields, PeerLink } from './PeerLink';
 import type { PeerLinkOptions } from './PeerLinkOptions';
-import { toSuspectsMessage } from './suspectFrames';
+import { toInterruptedCallsMessage, toSuspectsMessage } from './suspectFrames';
 
 /** Buffered bytes above which no further call is sent on a connection. */
 const MAXIMUM_PENDING_BYTES = 8_388_608;
@@ -25,6 +26,7 @@
   readonly call: CallAttempt;
   /** Connection on which it was sent. */
   readonly sentOn: LinkConnection;
+  readonly sentMilliseconds: number;
   readonly settle: (result: AttemptResult) => void;
   readonly sender: BodySender | undefined;
   receiver: BodyReceiver | undefined;
@@ -50,6 +52,7 @@
 export function createPeerLink(options: PeerLinkOptions): PeerLink {
   const { clock, ticker } = options;
   const calls = new Map<number, PendingCall>();
+  const lostCalls = createLostCalls(clock);
   const messages = new Map<number, (answer: unknown) => void>();
   let nextId = 1;
   let stopChecking: (() => void) | undefined;
@@ -58,6 +61,7 @@
 
   const connector = createLinkConnector(options, {
     onFrame: (frame) => dispatch(frame),
+    onOpen: (connection) => reportInterrupted(connection),
     onLost: () => {
       breakTransfers();
       void resume();
@@ -73,6 +77,17 @@
     pending.settle(result);
   };
 
+  const recordLost = ({ call, sentMilliseconds, sentOn }: PendingCall): void => {
+    lostCalls.add({ call, sentMilliseconds, incarnation: sentOn.incarnation });
+  };
+
+  /** Tells a new process of the other node which calls were lost with the earlier one. */
+  function reportInterrupted({ frames, incarnation }: LinkConnection): void {
+    const interrupted = lostCalls.take(incarnation);
+    if (interrupted.length === 0) return;
+    frames.send({ $case: 'interruptedCalls', value: toInterruptedCallsMessage(interrupted) });
+  }
+
   const onAnswer = (message: channelMessages.Answer): void => {
     const pending = calls.get(message.id);
     if (!pending || pending.receiver) return;
@@ -109,7 +124,9 @@
 
   /** Fails the bodies that are being transferred: parts that were lost with a connection are not sent again. */
   function breakTransfers(): void {
-    calls.forEach(({ receiver, sender }, id) => {
+    calls.forEach((pending, id) => {
+      const { receiver, sender } = pending;
+      if (receiver || sender) recordLost(pending);
       receiver?.fail();
       if (!sender) return;
       sender.release();
@@ -122,11 +139,15 @@
    * whether they have run.
    */
   const failUnresumable = (connection: LinkConnection | undefined): void => {
-    calls.forEach(({ call, sentOn }, id) => {
+    calls.forEach((pending, id) => {
+      const { call, sentOn } = pending;
       const isUnknown = connection && !isSameSession(connection, sentOn);
       const isUnreachable = !connection && call.repeatable;
-      if (isUnknown || isUnreachable) settle(id, refused('peer-unreachable', 'may-have-run'));
+      if (!isUnknown && !isUnreachable) return;
+      recordLost(pending);
+      settle(id, refused('peer-unreachable', 'may-have-run'));
     });
+    if (connection) reportInterrupted(connection);
   };
 
   async function resume(): Promise<void> {
@@ -184,6 +205,8 @@
       const { body, scope } = call;
       const stopListening = scope.onCancel(() => {
         frames.send({ $case: 'cancel', value: { id } });
+        const pending = calls.get(id);
+        if (pending && connector.current() !== connection) recordLost(pending);
         settle(id, refused(scope.cancelReason() ?? 'caller-gone', 'may-have-run'));
       });
       frames.send({ $case: 'call', value: toCallMessage(id, call) });
@@ -200,7 +223,14 @@
         if (rest) scope.onCancel(() => rest.destroy());
         resolve(result);
       };
-      calls.set(id, { call, sentOn: connection, settle: settleCall, sender, receiver: undefined });
+      calls.set(id, {
+        call,
+        sentOn: connection,
+        sentMilliseconds: clock.monotonicMilliseconds(),
+        settle: settleCall,
+        sender,
+        receiver: undefined,
+      });
       startChecking();
     });
 
--- a/packages/sidecar/src/lib/channel/createPeerListener.ts
+++ b/packages/sidecar/src/lib/channel/createPeerListener.ts
@@ -12,7 +12,7 @@
 import { createPeerSession } from './createPeerSession';
 import type { Frame } from './frameCodec';
 import type { PeerHandlers } from './PeerHandlers';
-import { fromSuspectsMessage } from './suspectFrames';
+import { fromInterruptedCallsMessage, fromSuspectsMessage } from './suspectFrames';
 
 /** Listener for the connections of other nodes. */
 export interface PeerListener {
@@ -80,6 +80,8 @@
       bodyCredit: (message: channelMessages.BodyCredit) => session?.onBodyCredit(message),
       suspects: (message: channelMessages.Suspects) =>
         peerHandlers.mergeSuspects(fromSuspectsMessage(message)),
+      interruptedCalls: (message: channelMessages.InterruptedCalls) =>
+        peerHandlers.recordInterrupted(fromInterruptedCallsMessage(message)),
       ping: (value: channelMessages.Ping, connection) => connection.send({ $case: 'pong', value }),
       ledgerRequest: (message: channelMessages.LedgerRequest, connection) => {
         const { ahead, needed, sequence } = message;
--- a/packages/sidecar/src/lib/channel/malformedMessages.test.ts
+++ b/packages/sidecar/src/lib/channel/malformedMessages.test.ts
@@ -32,6 +32,7 @@
       grant: async () => ({ tokens: 1, retryAfterMilliseconds: 0 }),
       exchange: (fields) => fields,
       mergeSuspects: () => undefined,
+      recordInterrupted: () => undefined,
       ...changed,
     },
   );
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -1,4 +1,5 @@
 import { createAdmissionController } from '@buckthornslip/admission';
+import { refusesConnections, splitAddress } from '@buckthornslip/calls';
 import type { AccountId } from '@buckthornslip/common';
 import type { CallPolicy } from '@buckthornslip/config';
 import { createAccountLedger, createLedgerRateLimiter } from '@buckthornslip/limits';
@@ -15,7 +16,6 @@
 import { createEntry } from '../entry/createEntry';
 import { createServiceRetryBudget } from '../entry/createServiceRetryBudget';
 import { createConnectionPools } from '../http/createConnectionPools';
-import { refusesConnections } from '../http/refusesConnections';
 import { createPeerLinks } from '../peers/createPeerLinks';
 import { fromExchangeFields, toExchangeFields } from '../peers/exchangeCodec';
 import { createPolicyFetcher } from '../policy/createPolicyFetcher';
@@ -28,10 +28,12 @@
 import { createLedgerPeers } from '../quota/createLedgerPeers';
 import { createRepeatLimit } from '../serving/createRepeatLimit';
 import { createRunningCalls } from '../serving/createRunningCalls';
+import { createInterruptedCalls } from '../serving/createInterruptedCalls';
 import { createStatedLimit } from '../serving/createStatedLimit';
 import { createSuspects } from '../serving/createSuspects';
 import { createCallServer } from '../serving/createCallServer';
 import { createUpstreamRegistry } from '../serving/createUpstreamRegistry';
+import { isSameStart } from '../serving/isSameStart';
 import type { UpstreamInstance } from '../serving/UpstreamInstance';
 import type { UpstreamView } from '../serving/UpstreamRegistry';
 import { createCallerListener } from './createCallerListener';
@@ -180,6 +182,7 @@
   });
   const onUpstreamChange = ({ instance, state }: UpstreamView): void => {
     statedLimit.startInstance(instance);
+    if (state === 'left') recordUpstreamDeparture(instance);
     const { coldStartMilliseconds, slots } = instance;
     const memberState = state === 'lost' ? 'starting' : state;
     admission.setCapacity({
@@ -200,6 +203,7 @@
     logger,
     announcementMilliseconds: options.announcementMilliseconds,
     onChange: onUpstreamChange,
+    onStart: (instance, previous) => recordUpstreamStart(instance, previous),
     onDeparture: (departure) => {
       // A later process of this node needs it as well, unless another upstream has taken its place.
       const state = upstream.current()?.state;
@@ -242,14 +246,31 @@
     clock,
     random,
     logger,
-    refusesConnections,
-    onCrash: upstream.markLost,
+    refusesConnections: (address) => refusesConnections(splitAddress(address)),
+    onCrash: (start) => {
+      const current = upstream.current();
+      if (current && isSameStart(current.instance, start)) upstream.markLost();
+    },
     peers: () =>
       directory
         .members(service)
         .filter((member) => member.host !== host)
         .map(({ peerAddress }) => ({ share: links.get(peerAddress).shareSuspects })),
   });
+  const interruptedCalls = createInterruptedCalls(clock, suspects.recordLost);
+
+  function recordUpstreamStart(
+    instance: UpstreamInstance,
+    previous: UpstreamInstance | undefined,
+  ): void {
+    if (previous) suspects.recordEnd(previous, 'successor-announced');
+    interruptedCalls.setStart(instance);
+  }
+
+  function recordUpstreamDeparture(instance: UpstreamInstance): void {
+    suspects.recordDeparture(instance);
+  }
+
   const runningCalls = createRunningCalls();
   const callServer = createCallServer({
     clock,
@@ -312,6 +333,7 @@
       grant: ledger.grant,
       exchange: answerExchange,
       mergeSuspects: suspects.merge,
+      recordInterrupted: interruptedCalls.add,
     },
   );
 
--- a/packages/sidecar/src/lib/serving/createCallServer.ts
+++ b/packages/sidecar/src/lib/serving/createCallServer.ts
@@ -1,3 +1,5 @@
+import type { Readable } from 'node:stream';
+
 import type {
   AdmissionController,
   AdmissionRequest,
@@ -20,7 +22,7 @@
 import { isSameStart } from './isSameStart';
 import type { RunningCalls } from './createRunningCalls';
 import type { StatedLimit } from './createStatedLimit';
-import type { Suspects } from './createSuspects';
+import type { CallEnding, Suspects } from './createSuspects';
 import type { AttemptResult, UpstreamResponse } from './AttemptResult';
 import type { CallAttempt } from './CallAttempt';
 import type { UpstreamRegistry, UpstreamView } from './UpstreamRegistry';
@@ -36,7 +38,7 @@
   readonly protocol: CallProtocol;
   readonly running: RunningCalls;
   readonly repeats: RepeatLimit;
-  readonly suspects: Pick<Suspects, 'check' | 'recordReset' | 'recordAnswer'>;
+  readonly suspects: Pick<Suspects, 'check' | 'begin' | 'recordEnd'>;
   readonly logger: EventLogger;
 }
 
@@ -65,6 +67,14 @@
   cancelled: 'caller-gone',
 };
 
+const failureEndings: Readonly<Record<ExchangeFailure, CallEnding>> = {
+  unconnected: 'unsent',
+  reset: 'lost',
+  truncated: 'lost',
+  foreign: 'abandoned',
+  cancelled: 'abandoned',
+};
+
 function isShed(answer: UpstreamResponse | Refusal): boolean {
   return answer.kind === 'refusal' && answer.reason === 'upstream-shed';
 }
@@ -77,6 +87,23 @@
   return status === 421;
 }
 
+/** @returns How a call ended whose response, if it has one, has been received as a whole. */
+function endingOf(
+  result: ExchangeResult,
+  answer: UpstreamResponse | Refusal,
+  head: ResponseHead | undefined,
+): CallEnding {
+  if (result.kind === 'failed') return result.sent ? failureEndings[result.failure] : 'unsent';
+  if (isWrongInstance(result.response.statusCode as number)) return 'unsent';
+  return answer.kind === 'answer' && head?.isSigned ? 'answered' : 'rejected';
+}
+
+/** @returns How a call ended whose response was streamed. */
+function streamEndingOf(rest: Readable, { scope }: CallAttempt, whole: CallEnding): CallEnding {
+  if (rest.readableEnded) return whole;
+  return rest.errored && scope.cancelReason() === undefined ? 'lost' : 'abandoned';
+}
+
 /**
  * Creates the call server of a node. All calls to the upstream pass through it, so that one place controls admission.
  *
@@ -184,7 +211,9 @@
     });
     const now = clock.monotonicMilliseconds();
     const tracked = running.add(call, now, now + remainingMilliseconds);
+    const suspectable = suspects.begin(call, view.instance);
     const release = (error: unknown): never => {
+      suspectable.end('abandoned');
       permit.release('failed');
       throw error;
     };
@@ -205,14 +234,21 @@
       .catch(release)
       .finally(tracked.end);
     const answer = toAnswer(call, view, result, head);
-    if (answer.kind === 'answer') suspects.recordAnswer(call);
-    else if (result.kind === 'failed' && result.failure === 'reset') {
-      suspects.recordReset(call, view.instance.address);
-    }
     const outcome = permitOutcome(result, answer);
-    if (answer.kind === 'answer' && answer.rest)
-      whenClosed(answer.rest, () => permit.release(outcome));
-    else permit.release(outcome);
+    const ending = endingOf(result, answer, head);
+    const rest = answer.kind === 'answer' ? answer.rest : undefined;
+    if (rest) {
+      whenClosed(rest, () => {
+        suspectable.end(streamEndingOf(rest, call, ending));
+        permit.release(outcome);
+      });
+    } else {
+      suspectable.end(ending);
+      permit.release(outcome);
+    }
+    if (result.kind !== 'failed' && isWrongInstance(result.response.statusCode as number)) {
+      suspects.recordEnd(view.instance, 'wrong-instance');
+    }
     if (answer.kind === 'refusal') {
       logger.log('attemptFailed', {
         requestId,
--- a/packages/sidecar/src/lib/serving/createSuspects.test.ts
+++ b/packages/sidecar/src/lib/serving/createSuspects.test.ts
@@ -1,15 +1,17 @@
+import { Readable } from 'node:stream';
+
 import { createCallScope } from '@buckthornslip/calls';
-import type { AccountId, ServiceId } from '@buckthornslip/common';
+import type { AccountId, ServiceId, UpstreamId } from '@buckthornslip/common';
 import { createFakeClock, createSeededRandom } from '@buckthornslip/common';
 import { createSilentLogger } from '@buckthornslip/telemetry';
 import t from 'tap';
 
 import type { CallAttempt } from './CallAttempt';
 import { createSuspects } from './createSuspects';
-import type { Suspects } from './createSuspects';
+import type { CallEnding, Suspects } from './createSuspects';
+import type { UpstreamInstance } from './UpstreamInstance';
 
 const SEED = 20_261_205;
-const ADDRESS = '127.0.0.1:1';
 const clock = createFakeClock();
 
 function callOf(changed: Partial<CallAttempt> = {}): CallAttempt {
@@ -38,6 +40,7 @@
   const cut = new Set<number>();
   const refused = new Set<number>();
   const crashes: number[] = [];
+  const starts: number[] = [];
   const random = createSeededRandom(SEED);
   const nodes: Suspects[] = [];
   const createNode = (index: number): Suspects =>
@@ -55,18 +58,37 @@
         ),
     });
   for (let index = 0; index < count; index += 1) nodes.push(createNode(index));
+  /** The current start of a node's upstream. */
+  const upstreamOf = (index: number): UpstreamInstance => ({
+    id: `upstream-${index}` as UpstreamId,
+    startedMilliseconds: starts[index] ?? 0,
+    sequence: 1,
+    service: 'service' as ServiceId,
+    address: `127.0.0.1:${index}`,
+    slots: 1,
+    state: 'ready',
+    coldStartMilliseconds: 0,
+  });
+  /** Runs one call. */
+  const run = (index: number, call: CallAttempt, ending: CallEnding): void =>
+    nodes[index]!.begin(call, upstreamOf(index)).end(ending);
+  const restartUpstream = (index: number): void => {
+    starts[index] = (starts[index] ?? 0) + 1;
+  };
   /** Runs calls whose upstream crashes. */
   const crash = async (index: number, calls: readonly CallAttempt[]): Promise<void> => {
     refused.add(index);
-    calls.forEach((call) => nodes[index]!.recordReset(call, ADDRESS));
+    const running = calls.map((call) => nodes[index]!.begin(call, upstreamOf(index)));
+    running.forEach(({ end }) => end('lost'));
     await clock.advance(100);
     refused.delete(index);
+    restartUpstream(index);
   };
   const restart = (index: number): void => {
     nodes[index]!.close();
     nodes[index] = createNode(index);
   };
-  return { nodes, cut, crash, crashes, restart };
+  return { nodes, cut, crash, crashes, restart, restartUpstream, run, upstreamOf };
 }
 
 // Guards against a request that crashes one upstream after the other because each node knows only its own.
@@ -95,9 +117,9 @@
 
 // Guards against suspecting calls whose connection was reset by an upstream that is still there.
 void t.test('a reset connection of a running upstream makes no suspect', async (test) => {
-  const { crashes, nodes } = createNodes(2);
+  const { crashes, nodes, run } = createNodes(2);
   for (let count = 0; count < 5; count += 1) {
-    nodes[0]!.recordReset(callOf(), ADDRESS);
+    run(0, callOf(), 'lost');
     await clock.advance(100);
   }
   test.equal(nodes[0]!.check(callOf({ isRepeat: true })), undefined);
@@ -106,11 +128,11 @@
 
 // Guards against refusing requests that happened to run when upstreams crashed, and that succeed elsewhere.
 void t.test('a request that is answered is no longer suspected', async (test) => {
-  const { crash, nodes } = createNodes(3);
+  const { crash, nodes, run } = createNodes(3);
   const innocent = callOf({ target: '/innocent' });
   await crash(0, [callOf(), innocent]);
   await crash(1, [callOf(), innocent]);
-  nodes[2]!.recordAnswer(innocent);
+  run(2, innocent, 'answered');
   test.equal(nodes[2]!.check({ ...innocent, isRepeat: true }), undefined);
   test.match(nodes[2]!.check(callOf({ isRepeat: true })), { reason: 'suspected-crash' });
 });
@@ -153,3 +175,96 @@
   ];
   others.forEach((call) => test.equal(nodes[0]!.check(call), undefined));
 });
+
+// Guards against two nodes that see a crash at the same moment, and count it as one.
+void t.test('crashes at the same moment add up', async (test) => {
+  const { crash, cut, nodes } = createNodes(4);
+  [0, 1, 2].forEach((index) => cut.add(index));
+  for (const index of [0, 1, 2]) await crash(index, [callOf()]);
+  nodes.forEach((node) => test.equal(node.check(callOf()), undefined));
+  cut.clear();
+  await clock.advance(5_000);
+  nodes.forEach((node) => test.match(node.check(callOf()), { reason: 'suspected-crash' }));
+});
+
+// Guards against clearing a request that has crashed upstreams because of a response that says nothing about it.
+void t.test(
+  'a response that does not come from running the request clears nothing',
+  async (test) => {
+    const { crash, nodes, run } = createNodes(3);
+    for (const index of [0, 1, 2]) await crash(index, [callOf()]);
+    run(0, callOf(), 'rejected');
+    run(0, callOf(), 'abandoned');
+    test.match(nodes[0]!.check(callOf()), { reason: 'suspected-crash' });
+  },
+);
+
+// Guards against a crash that is noticed only when the successor announces itself or answers in its place.
+void t.test('a successor shows that the calls before it were lost', async (test) => {
+  const { nodes, restartUpstream, run, upstreamOf } = createNodes(4);
+  for (const index of [0, 1, 2]) {
+    const upstream = upstreamOf(index);
+    run(index, callOf(), 'abandoned');
+    restartUpstream(index);
+    await clock.advance(3_000);
+    nodes[index]!.recordEnd(upstream, index === 1 ? 'wrong-instance' : 'successor-announced');
+  }
+  test.match(nodes[3]!.check(callOf()), { reason: 'suspected-crash' });
+});
+
+// Guards against a call that is still waiting for its response when the upstream has already been replaced.
+void t.test('a call that is running when the upstream is replaced is a suspect', async (test) => {
+  const { nodes, upstreamOf } = createNodes(2);
+  nodes[0]!.begin(callOf(), upstreamOf(0));
+  nodes[0]!.recordEnd(upstreamOf(0), 'successor-announced');
+  nodes[1]!.begin(callOf(), upstreamOf(1));
+  nodes[1]!.recordEnd(upstreamOf(1), 'successor-announced');
+  test.match(nodes[1]!.check(callOf({ isRepeat: true })), { reason: 'suspected-crash' });
+});
+
+// Guards against suspecting calls that timed out long before the upstream was replaced: it answered later ones.
+void t.test('calls before an answered one are no suspects', async (test) => {
+  const { crashes, nodes, run, upstreamOf } = createNodes(2);
+  for (const index of [0, 1]) {
+    run(index, callOf(), 'abandoned');
+    await clock.advance(100);
+    run(index, callOf({ target: '/other' }), 'answered');
+    nodes[index]!.recordEnd(upstreamOf(index), 'successor-announced');
+  }
+  test.same(crashes, []);
+  test.equal(nodes[0]!.check(callOf({ isRepeat: true })), undefined);
+});
+
+// Guards against suspecting calls that were running when an upstream ended as planned, or that it never received.
+void t.test('a departure and calls that were not sent make no suspects', async (test) => {
+  const { crashes, nodes, run, upstreamOf } = createNodes(1);
+  run(0, callOf(), 'abandoned');
+  nodes[0]!.recordDeparture(upstreamOf(0));
+  run(0, callOf(), 'unsent');
+  nodes[0]!.recordEnd(upstreamOf(0), 'successor-announced');
+  test.same(crashes, []);
+});
+
+// Guards against requests with long bodies that are never recognised.
+void t.test('requests with equal streamed bodies are equal', async (test) => {
+  const { crash, nodes } = createNodes(3);
+  const streamed = (text: string, length: number): CallAttempt => {
+    const head = Buffer.from(text);
+    return callOf({ body: { kind: 'stream', stream: Readable.from([]), length, head } });
+  };
+  for (const index of [0, 1, 2]) await crash(index, [streamed('culprit', 100_000)]);
+  test.match(nodes[0]!.check(streamed('culprit', 100_000)), { reason: 'suspected-crash' });
+  test.equal(nodes[0]!.check(streamed('culprit', 100_001)), undefined);
+  test.equal(nodes[0]!.check(streamed('another', 100_000)), undefined);
+});
+
+// Guards against a crash of which a node learns nothing because it was cut off when it happened.
+void t.test('a node that was cut off learns a first crash', async (test) => {
+  const { crash, cut, nodes } = createNodes(3);
+  cut.add(2);
+  await crash(0, [callOf()]);
+  cut.delete(2);
+  await clock.advance(4_000);
+  await crash(1, [callOf()]);
+  test.match(nodes[2]!.check(callOf({ isRepeat: true })), { reason: 'suspected-crash' });
+});
--- a/packages/sidecar/src/lib/serving/createSuspects.ts
+++ b/packages/sidecar/src/lib/serving/createSuspects.ts
@@ -1,11 +1,13 @@
-import { createHash } from 'node:crypto';
-
 import type { Refusal, Suspect } from '@buckthornslip/calls';
 import { createSuspectTable, refuse } from '@buckthornslip/calls';
 import type { Clock, RandomSource } from '@buckthornslip/common';
 import type { EventLogger } from '@buckthornslip/telemetry';
 
 import type { CallAttempt } from './CallAttempt';
+import { createUnansweredCalls } from './createUnansweredCalls';
+import { fingerprintOf } from './fingerprintOf';
+import type { UpstreamInstance } from './UpstreamInstance';
+import type { UpstreamStart } from './UpstreamStart';
 
 /** Another node of the service, which is told of suspects. */
 export interface SuspectPeer {
@@ -20,11 +22,33 @@
   /** @returns Whether the upstream at an address refuses connections, so that its process has ended. */
   readonly refusesConnections: (address: string) => Promise<boolean>;
   /** Called when the upstream's process has ended while calls were running. */
-  readonly onCrash: () => void;
+  readonly onCrash: (start: UpstreamStart) => void;
   /** @returns The other nodes of the service. */
   readonly peers: () => readonly SuspectPeer[];
 }
 
+/** How a call at the upstream ended. */
+export type CallEnding =
+  /** With a complete response of the upstream to this call, which clears it of suspicion. */
+  | 'answered'
+  /** With another response of the upstream, which does not show whether it can run the call. */
+  | 'rejected'
+  /** Without having been received by the upstream. */
+  | 'unsent'
+  /** With the end of its connection before a complete response. */
+  | 'lost'
+  /** With its deadline or its caller's departure, or with bytes that are no response to it. */
+  | 'abandoned';
+
+/** A call at the upstream. */
+export interface SuspectableCall {
+  readonly end: (ending: CallEnding) => void;
+}
+
+/** How it was noticed that the upstream's process has ended. */
+export type EndEvidence =
+  'connection-refused' | 'successor-announced' | 'wrong-instance' | 'started-after-lost-calls';
+
 /**
  * Calls that were running when upstreams of the service crashed, and may have caused it.
  *
@@ -33,10 +57,14 @@
 export interface Suspects {
   /** @returns A refusal if the call has been running in too many crashes. */
   readonly check: (call: CallAttempt) => Refusal | undefined;
-  /** Records a call whose connection was reset before a response. */
-  readonly recordReset: (call: CallAttempt, address: string) => void;
-  /** Records a call that got a response, which clears it of suspicion. */
-  readonly recordAnswer: (call: CallAttempt) => void;
+  /** Records a call that is sent to the upstream. */
+  readonly begin: (call: CallAttempt, upstream: UpstreamInstance) => SuspectableCall;
+  /** Records that a start of the upstream has ended without notice. The calls that it has not answered become suspects. */
+  readonly recordEnd: (start: UpstreamStart, evidence: EndEvidence) => void;
+  /** Records that a start of the upstream has ended as planned. */
+  readonly recordDeparture: (start: UpstreamStart) => void;
+  /** Records calls that were lost with the predecessor of a start of the upstream, while this node was not running either. */
+  readonly recordLost: (fingerprints: readonly string[], start: UpstreamStart) => void;
   /** Adds suspects that another node of the service reports. */
   readonly merge: (suspects: readonly Suspect[]) => void;
   readonly close: () => void;
@@ -48,7 +76,10 @@
 /** Crashes from which a request is not sent to another upstream again. */
 const CRASHES_TO_DENY_RETRIES = 2;
 
-/** Time between the first reset and the check whether the upstream's process has ended, in milliseconds. */
+/**
+ * Time between the two checks whether the upstream's process has ended, in milliseconds. A successor may be listening before the
+ * second one, and the first one may find a connection that was reset before the process has closed its listener.
+ */
 const CONFIRMATION_DELAY_MILLISECONDS = 50;
 
 /** Interval at which suspects are repeated to other nodes, which may have been restarted or cut off, in milliseconds. */
@@ -57,26 +88,24 @@
 /** Nodes that are told at each repetition. */
 const REPETITION_PEERS = 2;
 
+/** Most suspects of a repetition, those with the most crashes first. */
+const MAXIMUM_REPEATED_SUSPECTS = 64;
+
 /** Most calls of one crash that become suspects. */
 const MAXIMUM_CALLS_OF_CRASH = 256;
 
-/** Characters of a digest in Base64 that identify a request. */
-const FINGERPRINT_CHARACTERS = 22;
-
-/** @returns What is equal for equal requests; undefined if the body is not in memory. */
-function fingerprintOf({ account, body, method, route, target }: CallAttempt): string | undefined {
-  if (body.kind !== 'whole') return undefined;
-  return createHash('sha256')
-    .update([route, method, target, account ?? ''].join('\n'))
-    .update('\n')
-    .update(body.bytes)
-    .digest('base64')
-    .slice(0, FINGERPRINT_CHARACTERS);
+/** @returns The identifier of the crash of one start of an upstream. */
+function crashIdOf({ id, startedMilliseconds }: UpstreamStart): string {
+  return `${id}@${startedMilliseconds}`;
+}
+
+function byFailures(one: Suspect, other: Suspect): number {
+  return other.failures - one.failures;
 }
 
 /**
- * Creates the suspects of one node. When the upstream's process ends, the calls that were running become suspects, which all
- * nodes of the service are told. Fingerprints are computed only while there are suspects.
+ * Creates the suspects of one node. When the upstream's process ends, the calls that it had not answered become suspects, which
+ * all nodes of the service are told. Fingerprints are computed only while there are suspects.
  *
  * @param options - Dependencies.
  * @returns An empty set of suspects.
@@ -87,14 +116,14 @@
   const shareWithAll = (suspects: readonly Suspect[]): void =>
     peers().forEach(({ share }) => share(suspects));
   const table = createSuspectTable(clock, shareWithAll, CRASHES_TO_REFUSE);
-  let resets: CallAttempt[] = [];
+  const unanswered = createUnansweredCalls(clock);
   let isConfirming = false;
   let isClosed = false;
   let stopTimer: (() => void) | undefined;
 
   const repeat = (): void => {
     stopTimer = undefined;
-    const suspects = table.list(CRASHES_TO_DENY_RETRIES);
+    const suspects = [...table.list(1)].sort(byFailures).slice(0, MAXIMUM_REPEATED_SUSPECTS);
     const others = [...peers()];
     for (let told = 0; told < REPETITION_PEERS && others.length > 0; told += 1) {
       const [peer] = others.splice(random.nextInteger(others.length), 1);
@@ -108,32 +137,51 @@
     stopTimer = clock.setTimer(REPETITION_MILLISECONDS, repeat);
   }
 
-  const confirmCrash = async (address: string): Promise<void> => {
-    await clock.sleep(CONFIRMATION_DELAY_MILLISECONDS);
-    const hasEnded = await refusesConnections(address);
-    const calls = resets;
-    resets = [];
+  const addSuspects = (fingerprints: readonly string[], crashId: string): void => {
+    fingerprints.slice(0, MAXIMUM_CALLS_OF_CRASH).forEach(table.begin);
+    table.upstreamFailed(crashId);
+    scheduleRepetition();
+  };
+
+  const logCrash = (
+    { id: upstream, startedMilliseconds }: UpstreamStart,
+    evidence: EndEvidence,
+    calls: Readonly<Record<string, unknown>>,
+  ): void => logger.log('upstreamCrashed', { upstream, startedMilliseconds, evidence, ...calls });
+
+  const recordEnd = (start: UpstreamStart, evidence: EndEvidence): void => {
+    const calls = unanswered.take(start);
+    if (calls.length === 0 || isClosed) return;
+    const requestIds = calls.slice(0, 8).map(({ requestId }) => requestId);
+    logCrash(start, evidence, { unanswered: calls.length, requestIds });
+    addSuspects(calls.map(fingerprintOf), crashIdOf(start));
+    onCrash(start);
+  };
+
+  const confirmEnd = async (upstream: UpstreamInstance): Promise<void> => {
+    let hasEnded = await refusesConnections(upstream.address);
+    if (!hasEnded) {
+      await clock.sleep(CONFIRMATION_DELAY_MILLISECONDS);
+      hasEnded = await refusesConnections(upstream.address);
+    }
     isConfirming = false;
-    if (!hasEnded || isClosed) return;
-    logger.log('upstreamCrashed', {
-      address,
-      running: calls.length,
-      requestIds: calls.slice(0, 8).map(({ requestId }) => requestId),
-    });
-    calls.forEach((call) => {
-      const fingerprint = fingerprintOf(call);
-      if (fingerprint !== undefined) table.begin(fingerprint);
+    if (hasEnded) recordEnd(upstream, 'connection-refused');
+  };
+
+  const startConfirming = (upstream: UpstreamInstance): void => {
+    if (isConfirming) return;
+    isConfirming = true;
+    const { address } = upstream;
+    void confirmEnd(upstream).catch((error: unknown) => {
+      isConfirming = false;
+      logger.log('unexpectedError', { during: 'crash', address, error: String(error) });
     });
-    table.upstreamFailed();
-    scheduleRepetition();
-    onCrash();
   };
 
   return {
     check: (call) => {
       if (table.isEmpty()) return undefined;
       const fingerprint = fingerprintOf(call);
-      if (fingerprint === undefined) return undefined;
       const crashes = table.failuresOf(fingerprint);
       const isDenied = call.isRepeat && crashes >= CRASHES_TO_DENY_RETRIES;
       if (!isDenied && table.classify(fingerprint) !== 'refused') return undefined;
@@ -141,18 +189,31 @@
       logger.log('suspectRefused', { requestId, fingerprint, crashes, isRepeat });
       return refuse('suspected-crash');
     },
-    recordReset: (call, address) => {
-      if (resets.length < MAXIMUM_CALLS_OF_CRASH) resets.push(call);
-      if (isConfirming) return;
-      isConfirming = true;
-      void confirmCrash(address).catch((error: unknown) => {
-        logger.log('unexpectedError', { during: 'crash', address, error: String(error) });
-      });
+    begin: (call, upstream) => {
+      const sent = unanswered.add(call, upstream);
+      const handlers: Readonly<Record<CallEnding, () => void>> = {
+        answered: () => {
+          sent.recordResponse();
+          if (!table.isEmpty()) table.end(fingerprintOf(call), true);
+        },
+        rejected: sent.recordResponse,
+        unsent: sent.withdraw,
+        lost: () => {
+          sent.recordFailure();
+          startConfirming(upstream);
+        },
+        abandoned: sent.recordFailure,
+      };
+      return { end: (ending) => handlers[ending]() };
     },
-    recordAnswer: (call) => {
-      if (table.isEmpty()) return;
-      const fingerprint = fingerprintOf(call);
-      if (fingerprint !== undefined) table.end(fingerprint, true);
+    recordEnd,
+    recordDeparture: (start) => {
+      unanswered.take(start);
+    },
+    recordLost: (fingerprints, start) => {
+      logCrash(start, 'started-after-lost-calls', { unanswered: fingerprints.length });
+      // The predecessor is unknown here, but each report of its end names the same successor.
+      addSuspects(fingerprints, `before ${crashIdOf(start)}`);
     },
     merge: (suspects) => {
       table.merge(suspects);
--- a/packages/sidecar/src/lib/serving/createUpstreamRegistry.test.ts
+++ b/packages/sidecar/src/lib/serving/createUpstreamRegistry.test.ts
@@ -23,14 +23,16 @@
   const clock = createFakeClock();
   const states: string[] = [];
   const departures: MemberDeparture[] = [];
+  const starts: string[] = [];
   const registry = createUpstreamRegistry({
     clock,
     logger: createSilentLogger(),
     announcementMilliseconds: 1_000,
     onChange: ({ state }) => states.push(state),
+    onStart: ({ id }, previous) => starts.push(`${previous?.id ?? 'none'} to ${id}`),
     onDeparture: (departure) => departures.push(departure),
   });
-  return { clock, departures, registry, states };
+  return { clock, departures, registry, starts, states };
 }
 
 // Guards against a late announcement that marks a draining upstream as ready.
@@ -159,3 +161,12 @@
   registry.restoreDeparture({ id, startedMilliseconds: 100, state: 'left' });
   test.notOk(registry.announce(instance({ startedMilliseconds: 200, sequence: 9 })));
 });
+
+// Guards against a restart that goes unnoticed because the upstream has kept its id, its state and its slots.
+void t.test('each start of the upstream is reported once', async (test) => {
+  const { registry, starts } = createRegistry();
+  registry.announce(instance({ sequence: 1 }));
+  registry.announce(instance({ sequence: 2 }));
+  registry.announce(instance({ sequence: 1, startedMilliseconds: 1_000_000 }));
+  test.equal(starts.length, 2);
+});
--- a/packages/sidecar/src/lib/serving/createUpstreamRegistry.ts
+++ b/packages/sidecar/src/lib/serving/createUpstreamRegistry.ts
@@ -2,6 +2,7 @@
 import type { MemberDeparture } from '@buckthornslip/membership';
 import type { EventLogger } from '@buckthornslip/telemetry';
 
+import { isSameStart } from './isSameStart';
 import type { UpstreamInstance } from './UpstreamInstance';
 import type { UpstreamRegistry, UpstreamView } from './UpstreamRegistry';
 
@@ -13,6 +14,8 @@
   readonly announcementMilliseconds: number;
   /** Called after each change. */
   readonly onChange: (view: UpstreamView) => void;
+  /** Called with each new start of the upstream, and with the one that it replaces. */
+  readonly onStart: (instance: UpstreamInstance, previous: UpstreamInstance | undefined) => void;
   /** Called with a departure that changes no view, because the upstream is not the current one. */
   readonly onDeparture: (departure: MemberDeparture) => void;
 }
@@ -50,7 +53,7 @@
  * @public
  */
 export function createUpstreamRegistry(options: UpstreamRegistryOptions): UpstreamRegistry {
-  const { announcementMilliseconds, clock, logger, onChange, onDeparture } = options;
+  const { announcementMilliseconds, clock, logger, onChange, onDeparture, onStart } = options;
   const departures = new Map<UpstreamId, MemberDeparture>();
   let view: UpstreamView | undefined;
   let stopTimer: (() => void) | undefined;
@@ -119,7 +122,9 @@
       // A draining upstream does not become ready again within one start.
       const state = departure ? 'draining' : instance.state;
       if (state === 'draining') rememberDeparture({ ...startOf(instance), state });
+      const previous = view?.instance;
       setView({ instance, state }, 'announcement');
+      if (!previous || !isSameStart(previous, instance)) onStart(instance, previous);
       restartAnnouncementTimer();
       return true;
     },
--- a/packages/sidecar/src/lib/serving/isSameStart.ts
+++ b/packages/sidecar/src/lib/serving/isSameStart.ts
@@ -1,7 +1,4 @@
-import type { UpstreamInstance } from './UpstreamInstance';
-
-/** What identifies one start of an upstream. */
-type UpstreamStart = Pick<UpstreamInstance, 'id' | 'startedMilliseconds'>;
+import type { UpstreamStart } from './UpstreamStart';
 
 /**
  * @param first - An upstream.
--- a/packages/telemetry/src/lib/events/sidecarEvents.ts
+++ b/packages/telemetry/src/lib/events/sidecarEvents.ts
@@ -66,7 +66,7 @@
   upstreamCrashed: {
     number: 7105,
     level: 'warn',
-    message: 'upstream refuses connections after resets; the running calls are suspects',
+    message: 'upstream has ended without notice; the calls that it had not answered are suspects',
   },
   suspectRefused: {
     number: 7106,
