--- a/packages/calls/src/lib/suspects/createSuspectTable.ts
+++ b/packages/calls/src/lib/suspects/createSuspectTable.ts
@@ -113,18 +113,27 @@
     return countedFailureId((known?.failureIds.size ?? 0) + (known?.clearedIds.size ?? 0) + 1);
   };
 
-  const clear = (fingerprint: string): void => {
+  const clear = (fingerprint: string, ids: Iterable<string>): void => {
     const known = findCurrent(fingerprint);
     if (!known) return;
-    const clearedIds = new Set([...known.clearedIds, ...known.failureIds]);
+    const clearedIds = new Set([...known.clearedIds, ...ids]);
+    const failureIds = new Set([...known.failureIds].filter((id) => !clearedIds.has(id)));
+    const isRefused = failureIds.size >= failuresToRefuse;
     suspects.set(fingerprint, {
-      ...known,
-      failureIds: NO_IDS,
+      failureIds,
       clearedIds: new Set([...clearedIds].slice(-MAXIMUM_FAILURES)),
-      refusedUntilMilliseconds: 0,
+      refusedUntilMilliseconds: isRefused ? known.refusedUntilMilliseconds : 0,
+      expiresMilliseconds: known.expiresMilliseconds,
     });
   };
 
+  /** Clears a request that has been answered. Requests with one failure run anyway, so the other nodes need not know. */
+  const recordAnswer = (fingerprint: string): void => {
+    const failureIds = findCurrent(fingerprint)?.failureIds ?? NO_IDS;
+    clear(fingerprint, failureIds);
+    if (failureIds.size > 1) share([{ fingerprint, failures: 0, clearedIds: [...failureIds] }]);
+  };
+
   const toSuspect = (fingerprint: string, { failureIds }: SuspectRecord): Suspect => ({
     fingerprint,
     failures: failureIds.size,
@@ -154,7 +163,7 @@
       const others = (running.get(fingerprint) ?? 1) - 1;
       if (others > 0) running.set(fingerprint, others);
       else running.delete(fingerprint);
-      if (answered) clear(fingerprint);
+      if (answered) recordAnswer(fingerprint);
     },
     upstreamFailed: (failureId) => {
       const found = [...running.keys()].flatMap((fingerprint) => {
@@ -166,9 +175,11 @@
       if (found.length > 0) share(found);
     },
     merge: (shared) => {
-      shared.forEach((suspect) =>
-        add(suspect.fingerprint, failureIdsOf(suspect), suspect.remainingMilliseconds),
-      );
+      shared.forEach((suspect) => {
+        const { clearedIds = [], fingerprint, remainingMilliseconds } = suspect;
+        if (clearedIds.length > 0) clear(fingerprint, clearedIds);
+        add(fingerprint, failureIdsOf(suspect), remainingMilliseconds);
+      });
     },
   };
 }
--- a/packages/sidecar/src/lib/channel/createPeerLink.test.ts
+++ b/packages/sidecar/src/lib/channel/createPeerLink.test.ts
@@ -562,8 +562,20 @@
   const node = await startNode(FIRST, serve, clock, { mergeSuspects });
   const link = openLink(node.address);
   const suspects = [
-    { fingerprint: 'new', failures: 1, failureIds: ['a'], remainingMilliseconds: undefined },
-    { fingerprint: 'known', failures: 3, failureIds: [], remainingMilliseconds: 1_500 },
+    {
+      fingerprint: 'new',
+      failures: 1,
+      failureIds: ['a'],
+      clearedIds: ['b'],
+      remainingMilliseconds: undefined,
+    },
+    {
+      fingerprint: 'known',
+      failures: 3,
+      failureIds: [],
+      clearedIds: [],
+      remainingMilliseconds: 1_500,
+    },
   ];
   link.shareSuspects(suspects);
   await clock.sleep(100);
--- a/packages/sidecar/src/lib/channel/suspectFrames.ts
+++ b/packages/sidecar/src/lib/channel/suspectFrames.ts
@@ -19,11 +19,11 @@
  */
 export function toSuspectsMessage(suspects: readonly Suspect[]): channelMessages.Suspects {
   return {
-    suspects: suspects.map(({ failureIds = [], failures, fingerprint, remainingMilliseconds }) => ({
-      fingerprint,
-      failures,
+    suspects: suspects.map(({ clearedIds = [], failureIds = [], ...suspect }) => ({
+      ...suspect,
       failureIds: [...failureIds],
-      remainingMilliseconds: Math.floor(remainingMilliseconds ?? UNKNOWN),
+      clearedIds: [...clearedIds],
+      remainingMilliseconds: Math.floor(suspect.remainingMilliseconds ?? UNKNOWN),
     })),
   };
 }
@@ -36,10 +36,8 @@
 export function fromSuspectsMessage(message: channelMessages.Suspects): readonly Suspect[] {
   return message.suspects
     .slice(0, MAXIMUM_SUSPECTS)
-    .map(({ failureIds, failures, fingerprint, remainingMilliseconds }) => ({
-      fingerprint,
-      failures,
-      failureIds,
+    .map(({ remainingMilliseconds, ...suspect }) => ({
+      ...suspect,
       remainingMilliseconds: remainingMilliseconds < 0 ? undefined : remainingMilliseconds,
     }));
 }
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -1,7 +1,8 @@
 import { createAdmissionController } from '@buckthornslip/admission';
 import { refusesConnections, splitAddress } from '@buckthornslip/calls';
-import type { AccountId } from '@buckthornslip/common';
+import type { AccountId, PartitionId } from '@buckthornslip/common';
 import type { CallPolicy } from '@buckthornslip/config';
+import { rankMembers } from '@buckthornslip/leases';
 import { createAccountLedger, createLedgerRateLimiter } from '@buckthornslip/limits';
 import type { Member, MemberDeparture } from '@buckthornslip/membership';
 import { createRouter } from '@buckthornslip/routing';
@@ -251,6 +252,11 @@
       const current = upstream.current();
       if (current && isSameStart(current.instance, start)) upstream.markLost();
     },
+    isTrialNode: (fingerprint) => {
+      const nodes = directory.members(service).filter(({ state }) => state === 'ready');
+      const [first] = rankMembers(`suspect/${fingerprint}` as PartitionId, nodes);
+      return first?.host === host;
+    },
     peers: () =>
       directory
         .members(service)
--- a/packages/sidecar/src/lib/serving/createSuspects.test.ts
+++ b/packages/sidecar/src/lib/serving/createSuspects.test.ts
@@ -49,6 +49,7 @@
       random,
       logger: createSilentLogger(),
       refusesConnections: async () => refused.has(index),
+      isTrialNode: () => index === 1,
       onCrash: () => crashes.push(index),
       peers: () =>
         nodes.flatMap((_node, other) =>
@@ -268,3 +269,38 @@
   await crash(1, [callOf()]);
   test.match(nodes[2]!.check(callOf({ isRepeat: true })), { reason: 'suspected-crash' });
 });
+
+// Guards against a request that, once it is no longer refused, crashes all upstreams of the service at the same moment.
+void t.test('after its refusal a request is tried once, at one node', async (test) => {
+  const { crash, nodes, upstreamOf } = createNodes(4);
+  for (const index of [0, 1, 2]) await crash(index, [callOf()]);
+  await clock.advance(61_000);
+  const admitted = nodes.flatMap((node, index) => (node.check(callOf()) ? [] : [index]));
+  test.same(admitted, [1]);
+  const trial = nodes[1]!.begin(callOf(), upstreamOf(1));
+  test.match(nodes[1]!.check(callOf()), { reason: 'suspected-crash' });
+  trial.end('answered');
+  nodes.forEach((node) => test.equal(node.check(callOf({ isRepeat: true })), undefined));
+});
+
+// Guards against a longer series of crashes because a trial counts for less than the crashes before it.
+void t.test('a request that crashes its trial is refused for longer', async (test) => {
+  const { crash, nodes } = createNodes(4);
+  for (const index of [0, 1, 2]) await crash(index, [callOf()]);
+  await clock.advance(61_000);
+  await crash(1, [callOf()]);
+  await clock.advance(110_000);
+  nodes.forEach((node) => test.match(node.check(callOf()), { reason: 'suspected-crash' }));
+});
+
+// Guards against a request that other nodes go on refusing although an upstream has answered it.
+void t.test('all nodes learn that a request has been answered', async (test) => {
+  const { crash, nodes, run } = createNodes(4);
+  const innocent = callOf({ target: '/innocent' });
+  await crash(0, [innocent]);
+  await crash(1, [innocent]);
+  test.match(nodes[3]!.check({ ...innocent, isRepeat: true }), { reason: 'suspected-crash' });
+  run(2, innocent, 'answered');
+  await clock.advance(5_000);
+  nodes.forEach((node) => test.equal(node.check({ ...innocent, isRepeat: true }), undefined));
+});
--- a/packages/sidecar/src/lib/serving/createSuspects.ts
+++ b/packages/sidecar/src/lib/serving/createSuspects.ts
@@ -23,6 +23,8 @@
   readonly refusesConnections: (address: string) => Promise<boolean>;
   /** Called when the upstream's process has ended while calls were running. */
   readonly onCrash: (start: UpstreamStart) => void;
+  /** @returns Whether this node is the one of the service that may try a request again once it is no longer refused. */
+  readonly isTrialNode: (fingerprint: string) => boolean;
   /** @returns The other nodes of the service. */
   readonly peers: () => readonly SuspectPeer[];
 }
@@ -112,7 +114,7 @@
  * @internal
  */
 export function createSuspects(options: SuspectsOptions): Suspects {
-  const { clock, logger, onCrash, peers, random, refusesConnections } = options;
+  const { clock, isTrialNode, logger, onCrash, peers, random, refusesConnections } = options;
   const shareWithAll = (suspects: readonly Suspect[]): void =>
     peers().forEach(({ share }) => share(suspects));
   const table = createSuspectTable(clock, shareWithAll, CRASHES_TO_REFUSE);
@@ -178,13 +180,21 @@
     });
   };
 
+  /** After its refusal, a request that has crashed upstreams is tried once, at one node, so that it crashes one at most. */
+  const mayTry = (fingerprint: string): boolean =>
+    table.classify(fingerprint) !== 'refused' &&
+    isTrialNode(fingerprint) &&
+    !unanswered.isRunning((call) => fingerprintOf(call) === fingerprint);
+
   return {
     check: (call) => {
       if (table.isEmpty()) return undefined;
       const fingerprint = fingerprintOf(call);
       const crashes = table.failuresOf(fingerprint);
-      const isDenied = call.isRepeat && crashes >= CRASHES_TO_DENY_RETRIES;
-      if (!isDenied && table.classify(fingerprint) !== 'refused') return undefined;
+      const isDenied =
+        (call.isRepeat && crashes >= CRASHES_TO_DENY_RETRIES) ||
+        (crashes >= CRASHES_TO_REFUSE && !mayTry(fingerprint));
+      if (!isDenied) return undefined;
       const { isRepeat, requestId } = call;
       logger.log('suspectRefused', { requestId, fingerprint, crashes, isRepeat });
       return refuse('suspected-crash');
--- a/packages/sidecar/src/lib/serving/createUnansweredCalls.ts
+++ b/packages/sidecar/src/lib/serving/createUnansweredCalls.ts
@@ -22,6 +22,8 @@
 export interface UnansweredCalls {
   /** Records a call that is sent to one start of the upstream. */
   readonly add: (call: CallAttempt, start: UpstreamStart) => SentCall;
+  /** @returns Whether the upstream is running a call that meets a condition. */
+  readonly isRunning: (condition: (call: CallAttempt) => boolean) => boolean;
   /** @returns The calls that this start of the upstream has not answered, which are removed. */
   readonly take: (start: UpstreamStart) => readonly CallAttempt[];
 }
@@ -81,6 +83,7 @@
         },
       };
     },
+    isRunning: (condition) => [...running].some(({ call }) => condition(call)),
     take: (start) => {
       dropExpired();
       const taken = [...running, ...failed].filter((entry) => isSameStart(entry.start, start));
