--- a/packages/sidecar/src/lib/serving/createSuspects.test.ts
+++ b/packages/sidecar/src/lib/serving/createSuspects.test.ts
@@ -223,11 +223,29 @@
   test.match(nodes[1]!.check(callOf({ isRepeat: true })), { reason: 'suspected-crash' });
 });
 
-// Guards against suspecting calls that timed out long before the upstream was replaced: it answered later ones.
-void t.test('calls before an answered one are no suspects', async (test) => {
+// Guards against a request that crashes upstreams after it was abandoned, while they go on answering others.
+void t.test(
+  'an abandoned call is a suspect although the upstream has answered later ones',
+  async (test) => {
+    const { nodes, run, upstreamOf } = createNodes(2);
+    for (const index of [0, 1]) {
+      run(index, callOf(), 'abandoned');
+      await clock.advance(500);
+      run(index, callOf({ target: '/other' }), 'answered');
+      await clock.advance(500);
+      nodes[index]!.recordEnd(upstreamOf(index), 'successor-announced');
+    }
+    test.match(nodes[0]!.check(callOf({ isRepeat: true })), { reason: 'suspected-crash' });
+  },
+);
+
+// Guards against suspecting calls that failed before the upstream answered later ones and was replaced.
+void t.test('calls that the upstream has survived are no suspects', async (test) => {
   const { crashes, nodes, run, upstreamOf } = createNodes(2);
   for (const index of [0, 1]) {
     run(index, callOf(), 'abandoned');
+    await clock.advance(3_100);
+    run(index, callOf(), 'lost');
     await clock.advance(100);
     run(index, callOf({ target: '/other' }), 'answered');
     nodes[index]!.recordEnd(upstreamOf(index), 'successor-announced');
--- a/packages/sidecar/src/lib/serving/createSuspects.ts
+++ b/packages/sidecar/src/lib/serving/createSuspects.ts
@@ -209,10 +209,10 @@
         rejected: sent.recordResponse,
         unsent: sent.withdraw,
         lost: () => {
-          sent.recordFailure();
+          sent.recordLoss();
           startConfirming(upstream);
         },
-        abandoned: sent.recordFailure,
+        abandoned: sent.recordAbandonment,
       };
       return { end: (ending) => handlers[ending]() };
     },
--- a/packages/sidecar/src/lib/serving/createUnansweredCalls.ts
+++ b/packages/sidecar/src/lib/serving/createUnansweredCalls.ts
@@ -6,10 +6,12 @@
 
 /** A call that was sent to an upstream. */
 export interface SentCall {
-  /** Records a response, which proves that the upstream's process has survived all calls that had ended before this one was sent. */
+  /** Records a response, which proves that the upstream's process was running when it received this call. */
   readonly recordResponse: () => void;
-  /** Records that the call has ended without a response. It is kept, because its cause may still show. */
-  readonly recordFailure: () => void;
+  /** Records that the connection has ended without a response. */
+  readonly recordLoss: () => void;
+  /** Records that the call was abandoned. The upstream may still be working on it. */
+  readonly recordAbandonment: () => void;
   /** Removes a call that the upstream has not received. */
   readonly withdraw: () => void;
 }
@@ -31,6 +33,12 @@
 /** Time for which a failed call is kept. A crashed upstream is back and announces itself after a few seconds, in milliseconds. */
 const RETENTION_MILLISECONDS = 8_000;
 
+/**
+ * Time for which an abandoned call is kept although the upstream has answered later calls, in milliseconds. It may crash the upstream
+ * while that still works on it.
+ */
+const LATE_CRASH_MILLISECONDS = 3_000;
+
 /** Most failed calls that are kept. */
 const MAXIMUM_FAILED_CALLS = 256;
 
@@ -41,6 +49,10 @@
 
 interface FailedEntry extends Entry {
   readonly failedMilliseconds: number;
+  /** Latest time at which it can have ended the upstream. */
+  readonly untilMilliseconds: number;
+  /** How long after its failure it can end an upstream that has answered later calls, in milliseconds. */
+  readonly lateCrashMilliseconds: number;
 }
 
 /**
@@ -53,12 +65,24 @@
   let failed: readonly FailedEntry[] = [];
 
   const dropExpired = (): void => {
-    const oldest = clock.monotonicMilliseconds() - RETENTION_MILLISECONDS;
+    const now = clock.monotonicMilliseconds();
     failed = failed
-      .filter(({ failedMilliseconds }) => failedMilliseconds >= oldest)
+      .filter(({ untilMilliseconds }) => untilMilliseconds > now)
       .slice(-MAXIMUM_FAILED_CALLS);
   };
 
+  /** Keeps a call that has failed, for a shorter time if a later response has shown that the upstream survived its failure. */
+  const keep = (entry: Entry, lateCrashMilliseconds: number): void => {
+    if (!running.delete(entry)) return;
+    const failedMilliseconds = clock.monotonicMilliseconds();
+    const untilMilliseconds = failedMilliseconds + RETENTION_MILLISECONDS;
+    failed = [
+      ...failed,
+      { ...entry, failedMilliseconds, untilMilliseconds, lateCrashMilliseconds },
+    ];
+    dropExpired();
+  };
+
   return {
     add: (call, start) => {
       const entry = { call, start };
@@ -68,16 +92,17 @@
         recordResponse: () => {
           running.delete(entry);
           if (failed.length === 0) return;
-          failed = failed.filter(
-            (other) =>
-              other.failedMilliseconds > sentMilliseconds || !isSameStart(other.start, start),
-          );
-        },
-        recordFailure: () => {
-          if (!running.delete(entry)) return;
-          failed = [...failed, { ...entry, failedMilliseconds: clock.monotonicMilliseconds() }];
+          failed = failed.map((other) => {
+            const { failedMilliseconds, lateCrashMilliseconds } = other;
+            const isSurvived =
+              failedMilliseconds <= sentMilliseconds && isSameStart(other.start, start);
+            if (!isSurvived) return other;
+            return { ...other, untilMilliseconds: failedMilliseconds + lateCrashMilliseconds };
+          });
           dropExpired();
         },
+        recordLoss: () => keep(entry, 0),
+        recordAbandonment: () => keep(entry, LATE_CRASH_MILLISECONDS),
         withdraw: () => {
           running.delete(entry);
         },
