sidecar: a response in 64 chunks or more is complete when its connection is released

Found while reading the change, before it was landed: since pieces are joined, the last ones may be read after the connection was released, and such responses failed as truncated.

--- a/packages/sidecar/src/lib/http/exchange.test.ts
+++ b/packages/sidecar/src/lib/http/exchange.test.ts
@@ -231,6 +231,22 @@
   });
 });
 
+// Guards against a complete response in many small chunks that is taken for a truncated one, or loses some of them.
+void t.test('a response in many chunks is complete', async (test) => {
+  for (const chunks of [63, 64, 65, 500, 40_000]) {
+    const answer = (socket: Socket): void => {
+      socket.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n');
+      socket.write(`${'3\r\nabc\r\n'.repeat(chunks)}0\r\n\r\n`);
+    };
+    await withServer(answer, async (get) => {
+      for (let requests = 0; requests < 3; requests += 1) {
+        const result = await get();
+        test.equal(result.kind === 'whole' && result.body.toString(), 'abc'.repeat(chunks));
+      }
+    });
+  }
+});
+
 // Guards against bytes after a response that are read as the response to the next request.
 void t.test('a connection with unexpected bytes is not reused', async (test) => {
   const answerTwice = (socket: Socket, connections: number): void => {
--- a/packages/sidecar/src/lib/http/exchange.ts
+++ b/packages/sidecar/src/lib/http/exchange.ts
@@ -64,7 +64,7 @@
   return new Promise((resolve) => {
     let isSettled = false;
     let isSent = false;
-    let hasHead = false;
+    let received: IncomingMessage | undefined;
     let streamed: IncomingMessage | undefined;
     let stopListening: (() => void) | undefined;
     let connectTimer: NodeJS.Timeout | undefined;
@@ -97,7 +97,9 @@
       request.destroy();
     };
     const failConnection = (): void => {
-      if (hasHead) fail('truncated');
+      // The connection may be released before the last pieces of a complete response have been read.
+      if (received?.complete) return;
+      if (received) fail('truncated');
       else fail(isSent ? 'reset' : 'unconnected');
     };
 
@@ -159,7 +161,7 @@
         fail('foreign');
         return;
       }
-      hasHead = true;
+      received = response;
       if (options.retiresConnection?.(response)) request.shouldKeepAlive = false;
       watchUnframedEnd(response, () => fail('truncated'));
       collect(response);
