--- a/packages/sidecar/src/lib/testing/createDirectoryFleet.ts
+++ b/packages/sidecar/src/lib/testing/createDirectoryFleet.ts
@@ -22,6 +22,8 @@
 import type { PolicyError } from '../policy/createPolicyWatcher';
 import { createPolicyWatcher } from '../policy/createPolicyWatcher';
 import type { PolicyWatcher } from '../policy/PolicyWatcher';
+import type { StoreFailure } from './createHostStore';
+import { createHostStore } from './createHostStore';
 
 export const TEST_SERVICE = 'service' as ServiceId;
 
@@ -47,6 +49,8 @@
   readonly store: MemoryStore;
   /** Hosts that are cut off from the other hosts; messages from and to them fail after a timeout. */
   readonly unreachable: Set<string>;
+  /** Hosts that the store does not serve, and how their calls fail. */
+  readonly turnedAway: Map<string, StoreFailure>;
   /** Messages since they were last cleared. */
   readonly messages: SentMessage[];
   /** Hosts that follow the policy in the store. */
@@ -122,6 +126,7 @@
   const store = createMemoryStore({ clock });
   const directories = new Map<string, MemberDirectory>();
   const unreachable = new Set<string>();
+  const turnedAway = new Map<string, StoreFailure>();
   const followers = new Set<string>();
   const policies = new Map<string, PolicyWatcher>();
   const earlierDepartures = new Map<string, MemberDeparture>();
@@ -161,9 +166,10 @@
   const start: DirectoryFleet['start'] = (host, incarnation, zone = DEFAULT_ZONE) => {
     lastIncarnation += 1;
     const logger = createSilentLogger();
+    const hostStore = createHostStore({ clock, store, failure: () => turnedAway.get(host) });
     const policy = createPolicyWatcher({
       clock,
-      store,
+      store: hostStore,
       key: POLICY_KEY,
       decode: decodeTestPolicy,
       logger,
@@ -186,7 +192,7 @@
       self: createMember(host, incarnation ?? lastIncarnation, zone),
       clock,
       random,
-      store,
+      store: hostStore,
       peers: { exchange: (address, sent) => deliver(zone, hostOf(address), sent) },
       logger,
       isFirstStart: !hasStarted.has(host),
@@ -219,6 +225,7 @@
     clock,
     store,
     unreachable,
+    turnedAway,
     messages,
     followers,
     publish: async (revision) => {
--- /dev/null
+++ b/packages/sidecar/src/lib/testing/createHostStore.ts
@@ -0,0 +1,108 @@
+import type { Clock, Result } from '@buckthornslip/common';
+import { failure } from '@buckthornslip/common';
+import type { Store, StoreError, StoreEvent, StoreRevision } from '@buckthornslip/platform';
+import { Observable } from 'rxjs';
+
+/** How a store fails for a host: by an error at once, or without any answer. */
+export type StoreFailure = 'refused' | 'silent';
+
+/** Dependencies of a host's store. */
+interface HostStoreOptions {
+  readonly clock: Clock;
+  readonly store: Store;
+  /** @returns How the store fails for the host now; undefined if it serves it. */
+  readonly failure: () => StoreFailure | undefined;
+}
+
+/** Time after which a call without an answer fails, in milliseconds. */
+const CALL_TIMEOUT_MILLISECONDS = 1_000;
+
+/** Longest time for which a poll waits for a change, in milliseconds. */
+const POLL_MILLISECONDS = 2_500;
+
+/** Time after which a poll without an answer fails, in milliseconds. */
+const POLL_TIMEOUT_MILLISECONDS = 3_200;
+
+/** Delay before a refused poll is repeated, in milliseconds. */
+const RETRY_MILLISECONDS = 400;
+
+/**
+ * Creates a host's view of a store that may serve some hosts and not others. Its watches are consecutive polls. A poll that
+ * waits when the store begins to fail is never answered.
+ *
+ * @param options - The clock, the store, and how it fails.
+ * @returns The host's store.
+ */
+export function createHostStore(options: HostStoreOptions): Store {
+  const { clock, store } = options;
+
+  const failures: Readonly<Record<StoreFailure, () => Promise<Result<never, StoreError>>>> = {
+    refused: () => Promise.resolve(failure({ kind: 'unavailable' })),
+    silent: async () => {
+      await clock.sleep(CALL_TIMEOUT_MILLISECONDS);
+      return failure({ kind: 'timeout' });
+    },
+  };
+
+  const run = <Value>(
+    call: () => Promise<Result<Value, StoreError>>,
+  ): Promise<Result<Value, StoreError>> => {
+    const kind = options.failure();
+    return kind === undefined ? call() : failures[kind]();
+  };
+
+  /** @returns The first changes after a revision, none if there are none in time, or undefined if the answer is lost. */
+  const poll = (prefix: string, after: number): Promise<readonly StoreEvent[] | undefined> =>
+    new Promise((resolve) => {
+      const found: StoreEvent[] = [];
+      const changes = store.watch(prefix, after + 1).subscribe((event) => {
+        const isChange = event.kind === 'put' || event.kind === 'removed';
+        if (isChange && options.failure() === undefined) found.push(event);
+        if (found.length > 0) resolve(found);
+      });
+      clock.setTimer(POLL_MILLISECONDS, () => {
+        changes.unsubscribe();
+        if (options.failure() === undefined) resolve(found);
+      });
+      clock.setTimer(POLL_TIMEOUT_MILLISECONDS, () => resolve(undefined));
+    });
+
+  const revisionOf = (event: StoreEvent): number => {
+    if (event.kind === 'put') return event.entry.revision;
+    return event.kind === 'removed' ? event.revision : 0;
+  };
+
+  const watch: Store['watch'] = (prefix, fromRevision) =>
+    new Observable<StoreEvent>((subscriber) => {
+      let known = fromRevision - 1;
+      const next = async (): Promise<void> => {
+        const isRefused = options.failure() === 'refused';
+        const events = isRefused ? undefined : await poll(prefix, known);
+        if (subscriber.closed) return;
+        if (!events) {
+          subscriber.next({ kind: 'disconnected' });
+          if (isRefused) await clock.sleep(RETRY_MILLISECONDS);
+          return;
+        }
+        events.forEach((event) => subscriber.next(event));
+        known = Math.max(known, ...events.map(revisionOf));
+        subscriber.next({ kind: 'connected', revision: known as StoreRevision });
+      };
+      const watchUntilClosed = async (): Promise<void> => {
+        while (!subscriber.closed) await next();
+      };
+      void watchUntilClosed();
+    });
+
+  return {
+    get: (key) => run(() => store.get(key)),
+    list: (prefix, listOptions) => run(() => store.list(prefix, listOptions)),
+    compareAndSwap: (...input) => run(() => store.compareAndSwap(...input)),
+    remove: (...input) => run(() => store.remove(...input)),
+    watch,
+    grantLease: (milliseconds) => run(() => store.grantLease(milliseconds)),
+    keepAlive: (leaseId) => run(() => store.keepAlive(leaseId)),
+    revokeLease: (leaseId) => run(() => store.revokeLease(leaseId)),
+    close: () => undefined,
+  };
+}
