--- a/packages/sidecar/src/lib/channel/malformedMessages.test.ts
+++ b/packages/sidecar/src/lib/channel/malformedMessages.test.ts
@@ -110,6 +110,7 @@
     from: undefined,
     digest: '',
     policyRevision: 0,
+    policyAgeMilliseconds: -1,
     members: [],
     wantsPolicy: false,
     policy: Buffer.alloc(0),
--- a/packages/sidecar/src/lib/directory/DirectoryMessage.ts
+++ b/packages/sidecar/src/lib/directory/DirectoryMessage.ts
@@ -13,6 +13,8 @@
   readonly digest: string;
   /** Revision of the sender's current policy; 0 if it has none. */
   readonly policyRevision: number;
+  /** Time since the store confirmed that no newer policy exists, in milliseconds; Infinity if the sender does not know it. */
+  readonly policyAgeMilliseconds: number;
   /** Changed records in an update. In the answer to an exchange, all records if the digests differ. */
   readonly members: readonly Member[];
   readonly isUpdate: boolean;
--- a/packages/sidecar/src/lib/directory/createMemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/createMemberDirectory.ts
@@ -5,6 +5,8 @@
 import { first, firstValueFrom, merge } from 'rxjs';
 
 import type { PolicyAnnouncement } from '../policy/createPolicyFetcher';
+import type { PolicyKnowledge } from '../policy/PolicyKnowledge';
+import { policyKnowledgeOf } from '../policy/policyKnowledgeOf';
 import type { Changes } from './createChangeBatch';
 import { createChangeBatch } from './createChangeBatch';
 import { createExchangePartners } from './createExchangePartners';
@@ -37,8 +39,10 @@
   readonly isFirstStart: boolean;
   /** Time within which a policy that the store has accepted must be in force, in milliseconds. */
   readonly policyApplyMilliseconds: number;
-  /** @returns Revision of this node's current policy; 0 if there is none. */
-  readonly policyRevision: () => number;
+  /** @returns This node's current policy and the time since it was known to be the newest. */
+  readonly policyKnowledge: () => PolicyKnowledge;
+  /** Called with what another node knows of the policy in the store. */
+  readonly onPolicyKnowledge: (knowledge: PolicyKnowledge) => void;
   /** @returns Whether a connection to or from any other node is open. */
   readonly hasConnections: () => boolean;
   /** Called when another node has a newer policy. */
@@ -69,7 +73,8 @@
  * @public
  */
 export function createMemberDirectory(options: MemberDirectoryOptions): MemberDirectory {
-  const { clock, logger, onNewerPolicy, peers, policyRevision, random, store } = options;
+  const { clock, logger, onNewerPolicy, onPolicyKnowledge, peers, policyKnowledge, random, store } =
+    options;
   const table = createMemberTable();
   const relays = createZoneRelays(table);
   const records = createRecordReader({ clock, store, logger });
@@ -93,6 +98,7 @@
   let contacts = 0;
   table.merge(self);
 
+  const policyRevision = (): number => policyKnowledge().revision;
   const isSelf = ({ host }: Member): boolean => host === self.host;
   const isInZone = ({ zone }: Member): boolean => zone === self.zone;
   const others = (): Member[] => table.all().filter((member) => !isSelf(member));
@@ -116,6 +122,7 @@
     clock,
     logger,
     isRelay,
+    policyAgeMilliseconds: () => policyKnowledge().ageMilliseconds,
     relays: {
       contactOne: async () => {
         contacts += 1;
@@ -136,6 +143,7 @@
     from: self,
     digest: table.digest(),
     policyRevision: policyRevision(),
+    policyAgeMilliseconds: policyKnowledge().ageMilliseconds,
     members,
     isUpdate,
   });
@@ -284,9 +292,13 @@
     member: Member,
     sent: DirectoryMessage,
   ): Promise<DirectoryMessage | undefined> {
+    const sentMilliseconds = clock.monotonicMilliseconds();
     const answer = await peers.exchange(member.peerAddress, sent);
     if (isClosed || !answer) return undefined;
     applyMessage(answer);
+    // Only an answer bounds the time that a message has taken, and so the age of what it says.
+    const roundTripMilliseconds = clock.monotonicMilliseconds() - sentMilliseconds;
+    onPolicyKnowledge(policyKnowledgeOf(answer, roundTripMilliseconds));
     return answer;
   }
 
--- a/packages/sidecar/src/lib/directory/createRelayDuty.ts
+++ b/packages/sidecar/src/lib/directory/createRelayDuty.ts
@@ -47,6 +47,8 @@
   readonly clock: Clock;
   readonly logger: EventLogger;
   readonly isRelay: () => boolean;
+  /** @returns Time since this node's policy was known to be the newest, in milliseconds. */
+  readonly policyAgeMilliseconds: () => number;
   readonly relays: RelayContacts;
   /** Time within which a policy that the store has accepted must be in force, in milliseconds. */
   readonly applyMilliseconds: number;
@@ -64,8 +66,8 @@
  * @internal
  */
 export function createRelayDuty(options: RelayDutyOptions): RelayDuty {
-  const { applyMilliseconds, clock, followsAtStart, isRelay, logger, onFollowPolicy, relays } =
-    options;
+  const { applyMilliseconds, clock, followsAtStart, isRelay, logger, onFollowPolicy } = options;
+  const { policyAgeMilliseconds, relays } = options;
   const contactInterval = applyMilliseconds * CONTACT_INTERVAL_SHARE;
   let lastContactMilliseconds = clock.monotonicMilliseconds();
   let followsUntilMilliseconds = -Infinity;
@@ -96,6 +98,7 @@
         follows: next,
         isRelay: relay,
         silenceMilliseconds: silence,
+        policyAgeMilliseconds: Math.round(policyAgeMilliseconds()),
       });
       onFollowPolicy(next);
     }
--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -95,6 +95,8 @@
       whenAvailable: () => clock.sleep(policyTime - clock.monotonicMilliseconds()),
       currentBytes: () => undefined,
       ageMilliseconds: () => 0,
+      knowledge: () => ({ revision: 1, ageMilliseconds: 0 }),
+      learn: () => undefined,
       offer: () => undefined,
       setFollowing: () => undefined,
       refresh: () => undefined,
--- a/packages/sidecar/src/lib/peers/exchangeCodec.ts
+++ b/packages/sidecar/src/lib/peers/exchangeCodec.ts
@@ -6,6 +6,14 @@
 
 const NO_BYTES = Buffer.alloc(0);
 
+/** Wire form of an age that is not known. */
+const UNKNOWN_AGE = -1;
+
+const toWireAge = (milliseconds: number): number =>
+  Number.isFinite(milliseconds) ? Math.max(0, Math.ceil(milliseconds)) : UNKNOWN_AGE;
+
+const fromWireAge = (milliseconds: number): number => (milliseconds < 0 ? Infinity : milliseconds);
+
 /**
  * @param message - A directory message.
  * @param policy - Encoded policy, if the receiver has requested it.
@@ -22,6 +30,7 @@
     from: toMemberMessage(message.from),
     digest: message.digest,
     policyRevision: message.policyRevision,
+    policyAgeMilliseconds: toWireAge(message.policyAgeMilliseconds),
     members: message.members.map(toMemberMessage),
     wantsPolicy,
     policy: policy ? Buffer.from(policy) : NO_BYTES,
@@ -41,6 +50,7 @@
     from,
     digest: fields.digest,
     policyRevision: fields.policyRevision,
+    policyAgeMilliseconds: fromWireAge(fields.policyAgeMilliseconds),
     isUpdate: fields.update,
     members: fields.members
       .map(fromMemberMessage)
--- /dev/null
+++ b/packages/sidecar/src/lib/policy/createPolicyWatcher.test.ts
@@ -0,0 +1,61 @@
+import { createFakeClock, success } from '@buckthornslip/common';
+import type { CallPolicy } from '@buckthornslip/config';
+import { createMemoryStore } from '@buckthornslip/platform';
+import { createSilentLogger } from '@buckthornslip/telemetry';
+import t from 'tap';
+
+import { createPolicyWatcher } from './createPolicyWatcher';
+
+const KEY = 'policy';
+
+function createWatcher() {
+  const clock = createFakeClock();
+  const store = createMemoryStore({ clock });
+  const watcher = createPolicyWatcher({
+    clock,
+    store,
+    key: KEY,
+    decode: ([revision]) => success({ revision } as CallPolicy),
+    logger: createSilentLogger(),
+    onChange: () => undefined,
+  });
+  return { clock, store, watcher };
+}
+
+// Guards against a policy that counts as the newest although its node has never been told so.
+void t.test(
+  'the age of a policy from another node is unknown until the node is told',
+  async (test) => {
+    const { clock, watcher } = createWatcher();
+    watcher.offer(Buffer.of(3), 'another node');
+    test.equal(watcher.ageMilliseconds(), Infinity);
+    watcher.learn({ revision: 3, ageMilliseconds: 400 });
+    await clock.advance(100);
+    test.same(watcher.knowledge(), { revision: 3, ageMilliseconds: 500 });
+  },
+);
+
+// Guards against an older statement that hides a newer one, and against a superseded policy that seems confirmed.
+void t.test('the newest statement on the newest policy counts', async (test) => {
+  const { watcher } = createWatcher();
+  watcher.offer(Buffer.of(3), 'another node');
+  watcher.learn({ revision: 3, ageMilliseconds: 400 });
+  watcher.learn({ revision: 3, ageMilliseconds: 900 });
+  watcher.learn({ revision: 2, ageMilliseconds: 0 });
+  test.equal(watcher.ageMilliseconds(), 400);
+  watcher.learn({ revision: 4, ageMilliseconds: 100 });
+  test.equal(watcher.ageMilliseconds(), Infinity);
+  watcher.offer(Buffer.of(4), 'another node');
+  test.equal(watcher.ageMilliseconds(), 100);
+});
+
+// Guards against a wrong revision of another node that makes the policy look outdated for good.
+void t.test('what the store says overrides what another node has said', async (test) => {
+  const { clock, store, watcher } = createWatcher();
+  await store.compareAndSwap(KEY, 0, Buffer.of(3));
+  watcher.learn({ revision: 9, ageMilliseconds: 0 });
+  watcher.setFollowing(true);
+  await clock.advance(10);
+  test.same(watcher.knowledge(), { revision: 3, ageMilliseconds: 10 });
+  watcher.close();
+});
--- a/packages/sidecar/src/lib/policy/createPolicyWatcher.ts
+++ b/packages/sidecar/src/lib/policy/createPolicyWatcher.ts
@@ -4,6 +4,7 @@
 import type { EventLogger } from '@buckthornslip/telemetry';
 import type { Subscription } from 'rxjs';
 
+import type { PolicyKnowledge } from './PolicyKnowledge';
 import type { PolicyWatcher } from './PolicyWatcher';
 
 /** Why a stored policy cannot be used. */
@@ -48,6 +49,10 @@
   });
   /** Number of the current run of the watch; an earlier run ends itself. */
   let run = 0;
+  /** The newest revision that is known, and the last time at which it was known to be the newest in the store. */
+  let newest = { revision: 0, confirmedMilliseconds: -Infinity };
+
+  const currentRevision = (): number => policy?.revision ?? 0;
 
   const apply = (bytes: Uint8Array, source: string): void => {
     const decoded = decode(bytes);
@@ -60,6 +65,9 @@
     if (previous !== undefined && next.revision <= previous) return;
     policy = next;
     policyBytes = bytes;
+    if (next.revision > newest.revision) {
+      newest = { revision: next.revision, confirmedMilliseconds: -Infinity };
+    }
     logger.log('policyInForce', { source, revision: next.revision, previous });
     onChange(next);
     resolveAvailable();
@@ -69,10 +77,28 @@
     if (entry.key === key) apply(entry.value, 'store');
   };
 
-  let confirmedMilliseconds = -Infinity;
-  const ageMilliseconds = (): number => clock.monotonicMilliseconds() - confirmedMilliseconds;
+  const ageMilliseconds = (): number =>
+    newest.revision === currentRevision()
+      ? clock.monotonicMilliseconds() - newest.confirmedMilliseconds
+      : Infinity;
+
+  /** The store has just said that it has no other policy than the current one. */
   const confirm = (): void => {
-    confirmedMilliseconds = clock.monotonicMilliseconds();
+    newest = {
+      revision: currentRevision(),
+      confirmedMilliseconds: clock.monotonicMilliseconds(),
+    };
+  };
+
+  const learn = (knowledge: PolicyKnowledge): void => {
+    const { revision } = knowledge;
+    if (revision < newest.revision) return;
+    const learnedMilliseconds = clock.monotonicMilliseconds() - knowledge.ageMilliseconds;
+    const confirmedMilliseconds =
+      revision === newest.revision
+        ? Math.max(newest.confirmedMilliseconds, learnedMilliseconds)
+        : learnedMilliseconds;
+    newest = { revision, confirmedMilliseconds };
   };
 
   let isReachable = true;
@@ -90,8 +116,8 @@
   } = {
     put: ({ entry }) => applyEntry(entry),
     relisted: ({ entries }) => {
-      confirm();
       entries.forEach(applyEntry);
+      confirm();
     },
     removed: () => undefined,
     connected: () => {
@@ -104,8 +130,8 @@
   const read = async (): Promise<Result<StoreEntry | undefined, StoreError>> => {
     const result = await store.get(key);
     if (isClosed || !result.ok) return result;
-    confirm();
     if (result.value) applyEntry(result.value);
+    confirm();
     return result;
   };
 
@@ -126,9 +152,11 @@
 
   return {
     current: () => policy,
+    knowledge: () => ({ revision: currentRevision(), ageMilliseconds: ageMilliseconds() }),
     whenAvailable: () => available,
     currentBytes: () => policyBytes,
     ageMilliseconds,
+    learn,
     offer: apply,
     refresh: () => {
       if (!isFollowing) void read();
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -21,6 +21,7 @@
 import { fromExchangeFields, toExchangeFields } from '../peers/exchangeCodec';
 import { createPolicyFetcher } from '../policy/createPolicyFetcher';
 import { createPolicyWatcher } from '../policy/createPolicyWatcher';
+import { policyKnowledgeOf } from '../policy/policyKnowledgeOf';
 import type { RouteTable } from '../policy/createRouteTable';
 import { createRouteTable } from '../policy/createRouteTable';
 import type { PriorityRanks } from '../policy/createPriorityRanks';
@@ -158,7 +159,8 @@
     logger,
     isFirstStart: options.isFirstStart,
     policyApplyMilliseconds: options.policyApplyMilliseconds,
-    policyRevision,
+    policyKnowledge: policy.knowledge,
+    onPolicyKnowledge: policy.learn,
     peers: { exchange: exchangeWithPeer },
     hasConnections: () => links.hasOpen() || hasIncoming(),
     onNewerPolicy: policyFetcher.announce,
@@ -172,7 +174,12 @@
 
   async function requestPolicy(address: string): Promise<Uint8Array | undefined> {
     const fields = toExchangeFields(directory.currentMessage(), undefined, true);
-    return (await links.get(address).exchange(fields))?.policy;
+    const sentMilliseconds = clock.monotonicMilliseconds();
+    const answer = await links.get(address).exchange(fields);
+    const message = answer && fromExchangeFields(answer);
+    const roundTripMilliseconds = clock.monotonicMilliseconds() - sentMilliseconds;
+    if (message) policy.learn(policyKnowledgeOf(message, roundTripMilliseconds));
+    return answer?.policy;
   }
 
   const statedLimit = createStatedLimit({
@@ -354,6 +361,11 @@
     addGauge('queued', 'Calls waiting for the upstream', () => load().queued);
     addGauge('limit', 'Calls that may run at once', () => load().limit);
     addGauge('policy_revision', 'Revision of the policy in force', policyRevision);
+    addGauge(
+      'policy_age',
+      'Time since the policy in force was known to be the newest, in milliseconds; -1 if it never was',
+      () => (Number.isFinite(policy.ageMilliseconds()) ? policy.ageMilliseconds() : -1),
+    );
     addGauge(
       'event_loop_delay',
       'Last measured delay of timers, in milliseconds',
--- a/packages/sidecar/src/lib/testing/createDirectoryFleet.ts
+++ b/packages/sidecar/src/lib/testing/createDirectoryFleet.ts
@@ -197,7 +197,8 @@
       logger,
       isFirstStart: !hasStarted.has(host),
       policyApplyMilliseconds: POLICY_APPLY_MILLISECONDS,
-      policyRevision: () => policyRevision(host),
+      policyKnowledge: policy.knowledge,
+      onPolicyKnowledge: policy.learn,
       hasConnections: () => !resetByCut || !unreachable.has(host),
       onNewerPolicy: fetcher.announce,
       onFollowPolicy: (follows) => {
