--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -20,5 +20,6 @@
 export type { StoreLease } from './lib/store/StoreLease';
 export type { StoreLeaseId } from './lib/store/StoreLeaseId';
 export type { StoreListOptions } from './lib/store/StoreListOptions';
+export type { StoreWatchOptions } from './lib/store/StoreWatchOptions';
 export type { StoreListing } from './lib/store/StoreListing';
 export type { StoreRevision } from './lib/store/StoreRevision';
--- a/packages/platform/src/lib/store/Store.ts
+++ b/packages/platform/src/lib/store/Store.ts
@@ -9,6 +9,7 @@
 import type { StoreListing } from './StoreListing';
 import type { StoreListOptions } from './StoreListOptions';
 import type { StoreRevision } from './StoreRevision';
+import type { StoreWatchOptions } from './StoreWatchOptions';
 
 /**
  * The platform's key-value store. The promises never reject; failures are results.
@@ -61,8 +62,13 @@
    *
    * @param prefix - Prefix of the keys.
    * @param fromRevision - First revision to report; 0 reports changes from now on.
+   * @param options - When the store confirms that there is no change.
    */
-  readonly watch: (prefix: string, fromRevision: number) => Observable<StoreEvent>;
+  readonly watch: (
+    prefix: string,
+    fromRevision: number,
+    options?: StoreWatchOptions,
+  ) => Observable<StoreEvent>;
 
   /** @param timeToLiveMilliseconds - Rounded up to whole seconds with the etcd protocol. */
   readonly grantLease: (timeToLiveMilliseconds: number) => Promise<Result<StoreLease, StoreError>>;
--- /dev/null
+++ b/packages/platform/src/lib/store/StoreWatchOptions.ts
@@ -0,0 +1,12 @@
+/**
+ * Options of a watch.
+ *
+ * @public
+ */
+export interface StoreWatchOptions {
+  /**
+   * @returns Part of the usual time until the store confirms that there is no change, after which it does so for the first time
+   *   after a change. Watchers with different parts are confirmed in turn. A store that pushes changes ignores it.
+   */
+  readonly firstConfirmationShare?: () => number;
+}
--- a/packages/sidecar/src/lib/directory/MemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/MemberDirectory.ts
@@ -28,6 +28,8 @@
   readonly update: (change: SelfUpdate) => void;
   /** Passes the revision of the current policy on, if this node is a relay. */
   readonly announcePolicy: () => void;
+  /** @returns Position of this node among the relays of its zone, as a part of their number; 1 if it is no relay. */
+  readonly relayShare: () => number;
   /** @returns All other nodes that are considered alive. */
   readonly livePeers: () => readonly Member[];
   /** Records that another node has sent something, also outside of the directory. */
--- a/packages/sidecar/src/lib/directory/createMemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/createMemberDirectory.ts
@@ -121,7 +121,7 @@
   const duty = createRelayDuty({
     clock,
     logger,
-    isRelay,
+    rank: () => relays.rankInZone(self),
     policyAgeMilliseconds: () => policyKnowledge().ageMilliseconds,
     relays: {
       contactOne: async () => {
@@ -129,9 +129,9 @@
         const relay = pick(otherRelays(), contacts);
         return relay ? contact(relay) : false;
       },
-      contactAll: () => {
+      contactAll: (isEnough) => {
         const answers = merge(...otherRelays().map(contact));
-        return firstValueFrom(answers.pipe(first(Boolean, false)));
+        return firstValueFrom(answers.pipe(first((isAnswer) => isAnswer && isEnough(), false)));
       },
     },
     applyMilliseconds: options.policyApplyMilliseconds,
@@ -474,11 +474,17 @@
       void changeSelf(change);
     },
     announcePolicy: () => {
-      if (!isRelay()) return;
-      [...zonePeers(), ...remoteRelays()].forEach((member) => {
+      if (!isRelay() && !duty.isStandIn()) return;
+      // A stand-in tells its relays, which pass the policy on.
+      const told = isRelay() ? [...zonePeers(), ...remoteRelays()] : otherRelays();
+      told.forEach((member) => {
         void sendUpdate(member, []);
       });
     },
+    relayShare: () => {
+      const rank = ownRank();
+      return rank === undefined ? 1 : (rank + 1) / relays.of(self.zone).length;
+    },
     livePeers,
     recordContact,
     rateShare,
--- a/packages/sidecar/src/lib/directory/createZoneRelays.ts
+++ b/packages/sidecar/src/lib/directory/createZoneRelays.ts
@@ -7,7 +7,7 @@
 import { memoizeByRevision } from './memoizeByRevision';
 
 /** Relays of each zone. Two of them may fail, or be refused by the store, at the same time. */
-const RELAYS_PER_ZONE = 3;
+export const RELAYS_PER_ZONE = 3;
 
 /**
  * Relays of all zones: the nodes of a zone that follow the store for it and pass changes on.
@@ -21,6 +21,8 @@
   readonly zones: () => readonly ZoneId[];
   /** @returns Rank of a node among the relays of its zone; undefined if it is not a relay. */
   readonly rankOf: (member: Member) => number | undefined;
+  /** @returns Rank of a node among all live nodes of its zone, of which the first are the relays. */
+  readonly rankInZone: (member: Member) => number;
 }
 
 const canRelay = ({ alive, state }: Member): boolean => alive && state !== 'left';
@@ -69,5 +71,12 @@
       const rank = relaysOf(zone).findIndex((relay) => relay.host === host);
       return rank < 0 ? undefined : rank;
     },
+    rankInZone: (member) => {
+      const weight = weightOf(member);
+      return table
+        .all()
+        .filter((other) => other.zone === member.zone && canRelay(other))
+        .filter((other) => weightOf(other) < weight).length;
+    },
   };
 }
--- a/packages/sidecar/src/lib/directory/turnedAwayRelays.test.ts
+++ b/packages/sidecar/src/lib/directory/turnedAwayRelays.test.ts
@@ -1,4 +1,5 @@
 import type { ZoneId } from '@buckthornslip/common';
+import { createSeededRandom } from '@buckthornslip/common';
 import t from 'tap';
 
 import { createDirectoryFleet, POLICY_APPLY_MILLISECONDS } from '../testing/createDirectoryFleet';
@@ -54,3 +55,50 @@
     });
   }
 }
+
+// Guards against nodes that take the knowledge of their relays for old, and all follow the store.
+void t.test('only relays follow the store while it serves them', async (test) => {
+  const { fleet } = await startFleet(4, 32);
+  const relays = [...fleet.followers].sort();
+  test.equal(relays.length, 12);
+  const random = createSeededRandom(SEED);
+  for (let revision = 2; revision <= 20; revision += 1) {
+    await fleet.publish(revision);
+    const untilNext = fleet.clock.monotonicMilliseconds() + random.next() * 8_000;
+    while (fleet.clock.monotonicMilliseconds() < untilNext) {
+      await fleet.clock.advance(100);
+      test.same([...fleet.followers].sort(), relays);
+    }
+  }
+});
+
+// Guards against a store that is asked by the whole fleet when it is down, and when it comes back.
+void t.test('few nodes ask a store that is down', async (test) => {
+  const { fleet, hosts } = await startFleet(8, 200);
+  hosts.forEach((host) => fleet.turnedAway.set(host, 'silent'));
+  await fleet.clock.advance(4_500);
+  test.ok(fleet.followers.size < hosts.length / 2, `${fleet.followers.size} nodes follow`);
+  const { get, watch } = fleet.store.calls;
+  fleet.turnedAway.clear();
+  await fleet.clock.advance(1_000);
+  await fleet.publish(2);
+  await fleet.clock.advance(POLICY_APPLY_MILLISECONDS);
+  test.same([...new Set(hosts.map((host) => fleet.policyRevision(host)))], [2]);
+  const calls = fleet.store.calls.get + fleet.store.calls.watch - get - watch;
+  test.ok(calls < 2 * hosts.length, `${calls} calls after the outage`);
+});
+
+// Guards against knowledge that looks newer than it is because a message was held up on its way.
+void t.test('what a node is told without having asked does not count as recent', async (test) => {
+  const { fleet, hosts } = await startFleet(2, 12);
+  const node = hosts.find((host) => !fleet.followers.has(host)) as string;
+  const [relay] = [...fleet.followers];
+  const held = fleet.get(relay as string).currentMessage();
+  fleet.unreachable.add(node);
+  fleet.turnedAway.set(node, 'silent');
+  for (let passed = 0; passed < 5_000; passed += 500) {
+    await fleet.clock.advance(500);
+    fleet.get(node).receive({ ...held, policyAgeMilliseconds: 0 });
+  }
+  test.ok(fleet.get(node).currentMessage().policyAgeMilliseconds >= 5_000);
+});
--- a/packages/sidecar/src/lib/policy/createPolicyWatcher.test.ts
+++ b/packages/sidecar/src/lib/policy/createPolicyWatcher.test.ts
@@ -17,6 +17,7 @@
     key: KEY,
     decode: ([revision]) => success({ revision } as CallPolicy),
     logger: createSilentLogger(),
+    firstConfirmationShare: () => 1,
     onChange: () => undefined,
   });
   return { clock, store, watcher };
--- a/packages/sidecar/src/lib/policy/createPolicyWatcher.ts
+++ b/packages/sidecar/src/lib/policy/createPolicyWatcher.ts
@@ -21,6 +21,8 @@
   readonly key: string;
   readonly decode: (bytes: Uint8Array) => Result<CallPolicy, PolicyError>;
   readonly logger: EventLogger;
+  /** @returns Part of the usual time after which the store confirms this watcher's policy for the first time. */
+  readonly firstConfirmationShare: () => number;
   /** Called after a newer policy has been applied. */
   readonly onChange: (policy: CallPolicy) => void;
 }
@@ -37,7 +39,7 @@
  * @public
  */
 export function createPolicyWatcher(options: PolicyWatcherOptions): PolicyWatcher {
-  const { clock, decode, key, logger, onChange, store } = options;
+  const { clock, decode, firstConfirmationShare, key, logger, onChange, store } = options;
   let policy: CallPolicy | undefined;
   let policyBytes: Uint8Array | undefined;
   let subscription: Subscription | undefined;
@@ -141,7 +143,8 @@
       if (!isCurrent()) return;
       if (result.ok) {
         const revision = result.value?.revision ?? 0;
-        subscription = store.watch(key, revision + 1).subscribe((event) => {
+        const watch = store.watch(key, revision + 1, { firstConfirmationShare });
+        subscription = watch.subscribe((event) => {
           handlers[event.kind](event as never);
         });
         return;
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -134,6 +134,7 @@
     logger,
     key: options.policyKey,
     decode: options.decodePolicy,
+    firstConfirmationShare: () => relayShare(),
     onChange: (next) => applyPolicy(next),
   });
   const policyRevision = (): number => policy.current()?.revision ?? 0;
@@ -172,6 +173,10 @@
     directory.recordContact();
   }
 
+  function relayShare(): number {
+    return directory.relayShare();
+  }
+
   async function requestPolicy(address: string): Promise<Uint8Array | undefined> {
     const fields = toExchangeFields(directory.currentMessage(), undefined, true);
     const sentMilliseconds = clock.monotonicMilliseconds();
--- a/packages/sidecar/src/lib/testing/createDirectoryFleet.ts
+++ b/packages/sidecar/src/lib/testing/createDirectoryFleet.ts
@@ -173,6 +173,7 @@
       key: POLICY_KEY,
       decode: decodeTestPolicy,
       logger,
+      firstConfirmationShare: () => directories.get(host)?.relayShare() ?? 1,
       onChange: () => directories.get(host)?.announcePolicy(),
     });
     const fetcher = createPolicyFetcher({
--- a/packages/sidecar/src/lib/testing/createHostStore.ts
+++ b/packages/sidecar/src/lib/testing/createHostStore.ts
@@ -20,8 +20,8 @@
 /** Longest time for which a poll waits for a change, in milliseconds. */
 const POLL_MILLISECONDS = 2_500;
 
-/** Time after which a poll without an answer fails, in milliseconds. */
-const POLL_TIMEOUT_MILLISECONDS = 3_200;
+/** Time after the longest wait after which a poll without an answer fails, in milliseconds. */
+const POLL_MARGIN_MILLISECONDS = 700;
 
 /** Delay before a refused poll is repeated, in milliseconds. */
 const RETRY_MILLISECONDS = 400;
@@ -52,7 +52,11 @@
   };
 
   /** @returns The first changes after a revision, none if there are none in time, or undefined if the answer is lost. */
-  const poll = (prefix: string, after: number): Promise<readonly StoreEvent[] | undefined> =>
+  const poll = (
+    prefix: string,
+    after: number,
+    waitMilliseconds: number,
+  ): Promise<readonly StoreEvent[] | undefined> =>
     new Promise((resolve) => {
       const found: StoreEvent[] = [];
       const changes = store.watch(prefix, after + 1).subscribe((event) => {
@@ -60,11 +64,11 @@
         if (isChange && options.failure() === undefined) found.push(event);
         if (found.length > 0) resolve(found);
       });
-      clock.setTimer(POLL_MILLISECONDS, () => {
+      clock.setTimer(waitMilliseconds, () => {
         changes.unsubscribe();
         if (options.failure() === undefined) resolve(found);
       });
-      clock.setTimer(POLL_TIMEOUT_MILLISECONDS, () => resolve(undefined));
+      clock.setTimer(waitMilliseconds + POLL_MARGIN_MILLISECONDS, () => resolve(undefined));
     });
 
   const revisionOf = (event: StoreEvent): number => {
@@ -72,12 +76,16 @@
     return event.kind === 'removed' ? event.revision : 0;
   };
 
-  const watch: Store['watch'] = (prefix, fromRevision) =>
+  const watch: Store['watch'] = (prefix, fromRevision, watchOptions) =>
     new Observable<StoreEvent>((subscriber) => {
       let known = fromRevision - 1;
+      let isFirst = true;
       const next = async (): Promise<void> => {
         const isRefused = options.failure() === 'refused';
-        const events = isRefused ? undefined : await poll(prefix, known);
+        const share = isFirst ? (watchOptions?.firstConfirmationShare?.() ?? 1) : 1;
+        const wait = share * POLL_MILLISECONDS;
+        const events = isRefused ? undefined : await poll(prefix, known, wait);
+        isFirst = events?.length !== 0;
         if (subscriber.closed) return;
         if (!events) {
           subscriber.next({ kind: 'disconnected' });
