--- a/packages/sidecar/src/lib/channel/createLostCalls.ts
+++ b/packages/sidecar/src/lib/channel/createLostCalls.ts
@@ -12,6 +12,11 @@
   readonly sentMilliseconds: number;
 }
 
+/** What is kept of a lost call; the call itself may have a large body. */
+interface KeptCall extends Omit<LostCall, 'call'> {
+  readonly fingerprint: string;
+}
+
 /**
  * Calls whose connection was lost, until it is known whether the other node's process has ended with them.
  *
@@ -38,18 +43,19 @@
  * @internal
  */
 export function createLostCalls(clock: Clock): LostCalls {
-  let kept: readonly LostCall[] = [];
+  let kept: readonly KeptCall[] = [];
   return {
-    add: (lost) => {
-      kept = [...kept, lost].slice(-MAXIMUM_CALLS);
+    add: ({ call, incarnation, sentMilliseconds }) => {
+      const added = { fingerprint: fingerprintOf(call), incarnation, sentMilliseconds };
+      kept = [...kept, added].slice(-MAXIMUM_CALLS);
     },
     take: (incarnation) => {
       const now = clock.monotonicMilliseconds();
-      const interrupted = kept.flatMap((lost) => {
-        const ageMilliseconds = now - lost.sentMilliseconds;
+      const interrupted = kept.flatMap(({ fingerprint, sentMilliseconds, ...lost }) => {
+        const ageMilliseconds = now - sentMilliseconds;
         const isInterrupted =
           lost.incarnation !== incarnation && ageMilliseconds < RETENTION_MILLISECONDS;
-        return isInterrupted ? [{ fingerprint: fingerprintOf(lost.call), ageMilliseconds }] : [];
+        return isInterrupted ? [{ fingerprint, ageMilliseconds }] : [];
       });
       kept = [];
       return interrupted;
--- a/packages/sidecar/src/lib/serving/createSuspects.ts
+++ b/packages/sidecar/src/lib/serving/createSuspects.ts
@@ -156,7 +156,8 @@
     if (calls.length === 0 || isClosed) return;
     const requestIds = calls.slice(0, 8).map(({ requestId }) => requestId);
     logCrash(start, evidence, { unanswered: calls.length, requestIds });
-    addSuspects(calls.map(fingerprintOf), crashIdOf(start));
+    const fingerprints = calls.map(({ fingerprint }) => fingerprint);
+    addSuspects(fingerprints, crashIdOf(start));
     onCrash(start);
   };
 
--- a/packages/sidecar/src/lib/serving/createUnansweredCalls.ts
+++ b/packages/sidecar/src/lib/serving/createUnansweredCalls.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@buckthornslip/common';
 
 import type { CallAttempt } from './CallAttempt';
+import { fingerprintOf } from './fingerprintOf';
 import { isSameStart } from './isSameStart';
 import type { UpstreamStart } from './UpstreamStart';
 
@@ -16,6 +17,12 @@
   readonly withdraw: () => void;
 }
 
+/** What identifies a call that the upstream has not answered. */
+export interface UnansweredCall {
+  readonly requestId: string;
+  readonly fingerprint: string;
+}
+
 /**
  * Calls that the upstream has not answered. If its process ends, one of them may have caused that.
  *
@@ -27,7 +34,7 @@
   /** @returns Whether the upstream is running a call that meets a condition. */
   readonly isRunning: (condition: (call: CallAttempt) => boolean) => boolean;
   /** @returns The calls that this start of the upstream has not answered, which are removed. */
-  readonly take: (start: UpstreamStart) => readonly CallAttempt[];
+  readonly take: (start: UpstreamStart) => readonly UnansweredCall[];
 }
 
 /** Time for which a failed call is kept. A crashed upstream is back and announces itself after a few seconds, in milliseconds. */
@@ -47,7 +54,9 @@
   readonly start: UpstreamStart;
 }
 
-interface FailedEntry extends Entry {
+/** A call that has failed. It is kept without its body, which may be large. */
+interface FailedEntry extends UnansweredCall {
+  readonly start: UpstreamStart;
   readonly failedMilliseconds: number;
   /** Latest time at which it can have ended the upstream. */
   readonly untilMilliseconds: number;
@@ -55,6 +64,10 @@
   readonly lateCrashMilliseconds: number;
 }
 
+function identify(call: CallAttempt): UnansweredCall {
+  return { requestId: call.requestId, fingerprint: fingerprintOf(call) };
+}
+
 /**
  * @param clock - Source of time.
  * @returns An empty list.
@@ -76,9 +89,16 @@
     if (!running.delete(entry)) return;
     const failedMilliseconds = clock.monotonicMilliseconds();
     const untilMilliseconds = failedMilliseconds + RETENTION_MILLISECONDS;
+    const { call, start } = entry;
     failed = [
       ...failed,
-      { ...entry, failedMilliseconds, untilMilliseconds, lateCrashMilliseconds },
+      {
+        ...identify(call),
+        start,
+        failedMilliseconds,
+        untilMilliseconds,
+        lateCrashMilliseconds,
+      },
     ];
     dropExpired();
   };
@@ -111,10 +131,13 @@
     isRunning: (condition) => [...running].some(({ call }) => condition(call)),
     take: (start) => {
       dropExpired();
-      const taken = [...running, ...failed].filter((entry) => isSameStart(entry.start, start));
-      taken.forEach((entry) => running.delete(entry));
-      failed = failed.filter((entry) => !isSameStart(entry.start, start));
-      return taken.map(({ call }) => call);
+      const isTaken = (entry: { readonly start: UpstreamStart }): boolean =>
+        isSameStart(entry.start, start);
+      const interrupted = [...running].filter(isTaken);
+      const lost = failed.filter(isTaken);
+      interrupted.forEach((entry) => running.delete(entry));
+      failed = failed.filter((entry) => !isTaken(entry));
+      return [...interrupted.map(({ call }) => identify(call)), ...lost];
     },
   };
 }
