--- a/packages/calls/src/lib/suspects/createSuspectTable.test.ts
+++ b/packages/calls/src/lib/suspects/createSuspectTable.test.ts
@@ -62,3 +62,25 @@
   test.equal(table.classify('f0'), 'clear');
   test.equal(table.classify('f1499'), 'isolated');
 });
+
+// Guards against a crash that is taken for an earlier one, because its reporter only counts the failures of a request.
+void t.test('a counted failure after an answer is a new one', async (test) => {
+  const table = createSuspectTable(createFakeClock(), () => undefined);
+  table.merge([{ fingerprint: 'f', failures: 1 }]);
+  table.begin('f');
+  table.end('f', true);
+  test.equal(table.failuresOf('f'), 0);
+  table.merge([{ fingerprint: 'f', failures: 1 }]);
+  test.equal(table.failuresOf('f'), 1);
+});
+
+// Guards against a late report of a crash that an answer to the request has cleared.
+void t.test('a named failure stays cleared after an answer', async (test) => {
+  const table = createSuspectTable(createFakeClock(), () => undefined);
+  const report = { fingerprint: 'f', failures: 1, failureIds: ['upstream@1'] };
+  table.merge([report]);
+  table.begin('f');
+  table.end('f', true);
+  table.merge([report]);
+  test.equal(table.failuresOf('f'), 0);
+});
--- a/packages/calls/src/lib/suspects/createSuspectTable.ts
+++ b/packages/calls/src/lib/suspects/createSuspectTable.ts
@@ -38,11 +38,16 @@
   return Math.min(MAXIMUM_REFUSAL_MILLISECONDS, doubled);
 }
 
+const COUNTED_PREFIX = '#';
+
 /** @returns The identifier of a failure that its reporter only counts. */
 function countedFailureId(count: number): string {
-  return `#${count}`;
+  return `${COUNTED_PREFIX}${count}`;
 }
 
+/** @returns Whether an identifier tells a failure from all others, also from those after an answer. */
+const isUnique = (failureId: string): boolean => !failureId.startsWith(COUNTED_PREFIX);
+
 function failureIdsOf({ failureIds = [], failures }: Suspect): readonly string[] {
   if (failureIds.length > 0) return failureIds.slice(0, MAXIMUM_FAILURES);
   const length = Math.min(failures, MAXIMUM_FAILURES);
@@ -116,12 +121,12 @@
   const clear = (fingerprint: string, ids: Iterable<string>): void => {
     const known = findCurrent(fingerprint);
     if (!known) return;
-    const clearedIds = new Set([...known.clearedIds, ...ids]);
-    const failureIds = new Set([...known.failureIds].filter((id) => !clearedIds.has(id)));
+    const cleared = new Set([...known.clearedIds, ...ids]);
+    const failureIds = new Set([...known.failureIds].filter((id) => !cleared.has(id)));
     const isRefused = failureIds.size >= failuresToRefuse;
     suspects.set(fingerprint, {
       failureIds,
-      clearedIds: new Set([...clearedIds].slice(-MAXIMUM_FAILURES)),
+      clearedIds: new Set([...cleared].filter(isUnique).slice(-MAXIMUM_FAILURES)),
       refusedUntilMilliseconds: isRefused ? known.refusedUntilMilliseconds : 0,
       expiresMilliseconds: known.expiresMilliseconds,
     });
