--- a/packages/sidecar/src/lib/policy/createPolicyWatcher.test.ts
+++ b/packages/sidecar/src/lib/policy/createPolicyWatcher.test.ts
@@ -60,3 +60,16 @@
   test.same(watcher.knowledge(), { revision: 3, ageMilliseconds: 10 });
   watcher.close();
 });
+
+// Guards against a relay that was suspended and says what it knew before as if no time had passed.
+void t.test('knowledge ages while the host is suspended', async (test) => {
+  const { clock, watcher } = createWatcher();
+  watcher.offer(Buffer.of(3), 'another node');
+  watcher.learn({ revision: 3, ageMilliseconds: 100 });
+  clock.stepWallClock(5_000);
+  test.equal(watcher.ageMilliseconds(), 5_100);
+  watcher.learn({ revision: 3, ageMilliseconds: 200 });
+  test.equal(watcher.ageMilliseconds(), 200);
+  clock.stepWallClock(-5_000);
+  test.equal(watcher.ageMilliseconds(), 200);
+});
--- a/packages/sidecar/src/lib/policy/createPolicyWatcher.ts
+++ b/packages/sidecar/src/lib/policy/createPolicyWatcher.ts
@@ -27,6 +27,29 @@
   readonly onChange: (policy: CallPolicy) => void;
 }
 
+/** A moment on both clocks. Only the wall clock runs on while the host is suspended, and only the monotonic one is never set. */
+interface Instant {
+  readonly monotonicMilliseconds: number;
+  readonly wallMilliseconds: number;
+}
+
+const NEVER: Instant = { monotonicMilliseconds: -Infinity, wallMilliseconds: -Infinity };
+
+function instantOf(clock: Clock, ageMilliseconds: number): Instant {
+  return {
+    monotonicMilliseconds: clock.monotonicMilliseconds() - ageMilliseconds,
+    wallMilliseconds: clock.wallMilliseconds() - ageMilliseconds,
+  };
+}
+
+/** @returns The longest time that may have passed. */
+function elapsedSince(clock: Clock, instant: Instant): number {
+  return Math.max(
+    clock.monotonicMilliseconds() - instant.monotonicMilliseconds,
+    clock.wallMilliseconds() - instant.wallMilliseconds,
+  );
+}
+
 /** Delay before a failed read is retried, in milliseconds; failed calls are charged like successful ones. */
 const RETRY_MILLISECONDS = 400;
 
@@ -52,7 +75,7 @@
   /** Number of the current run of the watch; an earlier run ends itself. */
   let run = 0;
   /** The newest revision that is known, and the last time at which it was known to be the newest in the store. */
-  let newest = { revision: 0, confirmedMilliseconds: -Infinity };
+  let newest = { revision: 0, confirmed: NEVER };
 
   const currentRevision = (): number => policy?.revision ?? 0;
 
@@ -68,7 +91,7 @@
     policy = next;
     policyBytes = bytes;
     if (next.revision > newest.revision) {
-      newest = { revision: next.revision, confirmedMilliseconds: -Infinity };
+      newest = { revision: next.revision, confirmed: NEVER };
     }
     logger.log('policyInForce', { source, revision: next.revision, previous });
     onChange(next);
@@ -80,27 +103,18 @@
   };
 
   const ageMilliseconds = (): number =>
-    newest.revision === currentRevision()
-      ? clock.monotonicMilliseconds() - newest.confirmedMilliseconds
-      : Infinity;
+    newest.revision === currentRevision() ? elapsedSince(clock, newest.confirmed) : Infinity;
 
   /** The store has just said that it has no other policy than the current one. */
   const confirm = (): void => {
-    newest = {
-      revision: currentRevision(),
-      confirmedMilliseconds: clock.monotonicMilliseconds(),
-    };
+    newest = { revision: currentRevision(), confirmed: instantOf(clock, 0) };
   };
 
-  const learn = (knowledge: PolicyKnowledge): void => {
-    const { revision } = knowledge;
+  const learn = ({ ageMilliseconds: learnedAge, revision }: PolicyKnowledge): void => {
     if (revision < newest.revision) return;
-    const learnedMilliseconds = clock.monotonicMilliseconds() - knowledge.ageMilliseconds;
-    const confirmedMilliseconds =
-      revision === newest.revision
-        ? Math.max(newest.confirmedMilliseconds, learnedMilliseconds)
-        : learnedMilliseconds;
-    newest = { revision, confirmedMilliseconds };
+    const isOlder =
+      revision === newest.revision && elapsedSince(clock, newest.confirmed) <= learnedAge;
+    if (!isOlder) newest = { revision, confirmed: instantOf(clock, learnedAge) };
   };
 
   let isReachable = true;
