--- a/packages/sidecar/src/lib/testing/createHostStore.ts
+++ b/packages/sidecar/src/lib/testing/createHostStore.ts
@@ -23,12 +23,15 @@
 /** Time after the longest wait after which a poll without an answer fails, in milliseconds. */
 const POLL_MARGIN_MILLISECONDS = 700;
 
+/** Interval at which a waiting poll notices that the store fails, in milliseconds. */
+const FAILURE_CHECK_MILLISECONDS = 50;
+
 /** Delay before a refused poll is repeated, in milliseconds. */
 const RETRY_MILLISECONDS = 400;
 
 /**
  * Creates a host's view of a store that may serve some hosts and not others. Its watches are consecutive polls. A poll that
- * waits when the store begins to fail is never answered.
+ * begins or waits while the store fails is never answered, also if the store is back before its end.
  *
  * @param options - The clock, the store, and how it fails.
  * @returns The host's store.
@@ -59,14 +62,23 @@
   ): Promise<readonly StoreEvent[] | undefined> =>
     new Promise((resolve) => {
       const found: StoreEvent[] = [];
+      let isLost = options.failure() !== undefined;
+      const checkFailure = async (): Promise<void> => {
+        const end = clock.monotonicMilliseconds() + waitMilliseconds;
+        while (!isLost && found.length === 0 && clock.monotonicMilliseconds() < end) {
+          await clock.sleep(FAILURE_CHECK_MILLISECONDS);
+          isLost ||= options.failure() !== undefined;
+        }
+      };
+      void checkFailure();
       const changes = store.watch(prefix, after + 1).subscribe((event) => {
         const isChange = event.kind === 'put' || event.kind === 'removed';
-        if (isChange && options.failure() === undefined) found.push(event);
+        if (isChange && !isLost && options.failure() === undefined) found.push(event);
         if (found.length > 0) resolve(found);
       });
       clock.setTimer(waitMilliseconds, () => {
         changes.unsubscribe();
-        if (options.failure() === undefined) resolve(found);
+        if (!isLost && options.failure() === undefined) resolve(found);
       });
       clock.setTimer(waitMilliseconds + POLL_MARGIN_MILLISECONDS, () => resolve(undefined));
     });
