--- a/packages/sidecar/src/lib/testing/createDirectoryFleet.ts
+++ b/packages/sidecar/src/lib/testing/createDirectoryFleet.ts
@@ -22,8 +22,9 @@
 import type { PolicyError } from '../policy/createPolicyWatcher';
 import { createPolicyWatcher } from '../policy/createPolicyWatcher';
 import type { PolicyWatcher } from '../policy/PolicyWatcher';
-import type { StoreFailure } from './createHostStore';
 import { createHostStore } from './createHostStore';
+import type { StoreFailures } from './createStoreFailures';
+import { createStoreFailures } from './createStoreFailures';
 
 export const TEST_SERVICE = 'service' as ServiceId;
 
@@ -50,7 +51,7 @@
   /** Hosts that are cut off from the other hosts; messages from and to them fail after a timeout. */
   readonly unreachable: Set<string>;
   /** Hosts that the store does not serve, and how their calls fail. */
-  readonly turnedAway: Map<string, StoreFailure>;
+  readonly turnedAway: StoreFailures;
   /** Messages since they were last cleared. */
   readonly messages: SentMessage[];
   /** Hosts that follow the policy in the store. */
@@ -126,7 +127,7 @@
   const store = createMemoryStore({ clock });
   const directories = new Map<string, MemberDirectory>();
   const unreachable = new Set<string>();
-  const turnedAway = new Map<string, StoreFailure>();
+  const turnedAway = createStoreFailures(clock);
   const followers = new Set<string>();
   const policies = new Map<string, PolicyWatcher>();
   const earlierDepartures = new Map<string, MemberDeparture>();
@@ -166,7 +167,7 @@
   const start: DirectoryFleet['start'] = (host, incarnation, zone = DEFAULT_ZONE) => {
     lastIncarnation += 1;
     const logger = createSilentLogger();
-    const hostStore = createHostStore({ clock, store, failure: () => turnedAway.get(host) });
+    const hostStore = createHostStore({ clock, store, host, failures: turnedAway });
     const policy = createPolicyWatcher({
       clock,
       store: hostStore,
--- a/packages/sidecar/src/lib/testing/createHostStore.ts
+++ b/packages/sidecar/src/lib/testing/createHostStore.ts
@@ -3,15 +3,14 @@
 import type { Store, StoreError, StoreEvent, StoreRevision } from '@buckthornslip/platform';
 import { Observable } from 'rxjs';
 
-/** How a store fails for a host: by an error at once, or without any answer. */
-export type StoreFailure = 'refused' | 'silent';
+import type { StoreFailure, StoreFailures } from './createStoreFailures';
 
 /** Dependencies of a host's store. */
 interface HostStoreOptions {
   readonly clock: Clock;
   readonly store: Store;
-  /** @returns How the store fails for the host now; undefined if it serves it. */
-  readonly failure: () => StoreFailure | undefined;
+  readonly host: string;
+  readonly failures: StoreFailures;
 }
 
 /** Time after which a call without an answer fails, in milliseconds. */
@@ -23,9 +22,6 @@
 /** Time after the longest wait after which a poll without an answer fails, in milliseconds. */
 const POLL_MARGIN_MILLISECONDS = 700;
 
-/** Interval at which a waiting poll notices that the store fails, in milliseconds. */
-const FAILURE_CHECK_MILLISECONDS = 50;
-
 /** Delay before a refused poll is repeated, in milliseconds. */
 const RETRY_MILLISECONDS = 400;
 
@@ -33,13 +29,13 @@
  * Creates a host's view of a store that may serve some hosts and not others. Its watches are consecutive polls. A poll that
  * begins or waits while the store fails is never answered, also if the store is back before its end.
  *
- * @param options - The clock, the store, and how it fails.
+ * @param options - The clock, the store, the host and the store's failures.
  * @returns The host's store.
  */
 export function createHostStore(options: HostStoreOptions): Store {
-  const { clock, store } = options;
+  const { clock, failures, host, store } = options;
 
-  const failures: Readonly<Record<StoreFailure, () => Promise<Result<never, StoreError>>>> = {
+  const answers: Readonly<Record<StoreFailure, () => Promise<Result<never, StoreError>>>> = {
     refused: () => Promise.resolve(failure({ kind: 'unavailable' })),
     silent: async () => {
       await clock.sleep(CALL_TIMEOUT_MILLISECONDS);
@@ -50,8 +46,8 @@
   const run = <Value>(
     call: () => Promise<Result<Value, StoreError>>,
   ): Promise<Result<Value, StoreError>> => {
-    const kind = options.failure();
-    return kind === undefined ? call() : failures[kind]();
+    const kind = failures.get(host);
+    return kind === undefined ? call() : answers[kind]();
   };
 
   /** @returns The first changes after a revision, none if there are none in time, or undefined if the answer is lost. */
@@ -62,23 +58,16 @@
   ): Promise<readonly StoreEvent[] | undefined> =>
     new Promise((resolve) => {
       const found: StoreEvent[] = [];
-      let isLost = options.failure() !== undefined;
-      const checkFailure = async (): Promise<void> => {
-        const end = clock.monotonicMilliseconds() + waitMilliseconds;
-        while (!isLost && found.length === 0 && clock.monotonicMilliseconds() < end) {
-          await clock.sleep(FAILURE_CHECK_MILLISECONDS);
-          isLost ||= options.failure() !== undefined;
-        }
-      };
-      void checkFailure();
+      const startedMilliseconds = clock.monotonicMilliseconds();
+      const isLost = (): boolean => failures.hasFailedSince(host, startedMilliseconds);
       const changes = store.watch(prefix, after + 1).subscribe((event) => {
         const isChange = event.kind === 'put' || event.kind === 'removed';
-        if (isChange && !isLost && options.failure() === undefined) found.push(event);
+        if (isChange && !isLost()) found.push(event);
         if (found.length > 0) resolve(found);
       });
       clock.setTimer(waitMilliseconds, () => {
         changes.unsubscribe();
-        if (!isLost && options.failure() === undefined) resolve(found);
+        if (!isLost()) resolve(found);
       });
       clock.setTimer(waitMilliseconds + POLL_MARGIN_MILLISECONDS, () => resolve(undefined));
     });
@@ -93,7 +82,7 @@
       let known = fromRevision - 1;
       let isFirst = true;
       const next = async (): Promise<void> => {
-        const isRefused = options.failure() === 'refused';
+        const isRefused = failures.get(host) === 'refused';
         const share = isFirst ? (watchOptions?.firstConfirmationShare?.() ?? 1) : 1;
         const wait = share * POLL_MILLISECONDS;
         const events = isRefused ? undefined : await poll(prefix, known, wait);
