--- a/packages/sidecar/src/lib/serving/createSuspects.ts
+++ b/packages/sidecar/src/lib/serving/createSuspects.ts
@@ -107,7 +107,8 @@
 
 /**
  * Creates the suspects of one node. When the upstream's process ends, the calls that it had not answered become suspects, which
- * all nodes of the service are told. Fingerprints are computed only while there are suspects.
+ * all nodes of the service are told. Fingerprints are computed for calls that fail, and for others only while
+ * there are suspects.
  *
  * @param options - Dependencies.
  * @returns An empty set of suspects.
