--- a/packages/sidecar/src/lib/channel/callFrames.ts
+++ b/packages/sidecar/src/lib/channel/callFrames.ts
@@ -3,6 +3,7 @@
 import { refuse } from '@buckthornslip/calls';
 import type { AccountId, Outcome, RefusalReason, ServiceId } from '@buckthornslip/common';
 import { refusalCatalogue } from '@buckthornslip/common';
+import type { LoadReport } from '@buckthornslip/routing';
 import type { channelMessages } from '@buckthornslip/wire';
 
 import type { AttemptResult } from '../serving/AttemptResult';
@@ -71,6 +72,31 @@
   };
 }
 
+function toLoadMessage(load: LoadReport | undefined): channelMessages.Load | undefined {
+  if (!load) return undefined;
+  return {
+    running: load.running,
+    queued: load.queued,
+    limit: load.limit,
+    cutoffRank: load.cutoffRank,
+    workMilliseconds: load.workMilliseconds ?? UNKNOWN,
+    speed: load.speed ?? 0,
+  };
+}
+
+function fromLoadMessage(message: channelMessages.Load | undefined): LoadReport | undefined {
+  if (!message) return undefined;
+  const { cutoffRank, limit, queued, running, speed, workMilliseconds } = message;
+  return {
+    running,
+    queued,
+    limit,
+    cutoffRank,
+    workMilliseconds: workMilliseconds < 0 ? undefined : workMilliseconds,
+    speed: speed > 0 ? speed : undefined,
+  };
+}
+
 /**
  * @param id - Number of the call.
  * @param result - The result of the call.
@@ -78,8 +104,11 @@
  * @internal
  */
 export function toAnswerMessage(id: number, result: AttemptResult): channelMessages.Answer {
-  const { answer, load } = result;
+  const { answer } = result;
+  const load = toLoadMessage(result.load);
   const shed = result.isShed ?? false;
+  const serviceMilliseconds = result.serviceMilliseconds ?? 0;
+  const nestedShare = result.nestedShare ?? 0;
   if (answer.kind === 'refusal') {
     return {
       id,
@@ -92,6 +121,8 @@
       bodyFollows: false,
       load,
       shed,
+      serviceMilliseconds,
+      nestedShare,
     };
   }
   return {
@@ -105,6 +136,8 @@
     bodyFollows: answer.rest !== undefined,
     load,
     shed,
+    serviceMilliseconds,
+    nestedShare,
   };
 }
 
@@ -118,7 +151,13 @@
   message: channelMessages.Answer,
   rest: Readable | undefined,
 ): AttemptResult {
-  const { load, refusalOutcome, refusalReason, retryAfterMilliseconds, shed: isShed } = message;
+  const { refusalOutcome, refusalReason, retryAfterMilliseconds } = message;
+  const reports = {
+    load: fromLoadMessage(message.load),
+    isShed: message.shed,
+    serviceMilliseconds: message.serviceMilliseconds || undefined,
+    nestedShare: message.nestedShare || undefined,
+  };
   if (refusalReason === '') {
     return {
       answer: {
@@ -128,8 +167,7 @@
         body: message.body,
         rest,
       },
-      load,
-      isShed,
+      ...reports,
     };
   }
   const isKnown = refusalReason in refusalCatalogue && OUTCOMES.has(refusalOutcome);
@@ -138,5 +176,5 @@
     ? refuse(refusalReason as RefusalReason, refusalOutcome as Outcome)
     : refuse('upstream-failed', 'may-have-run');
   const answer = retryAfterMilliseconds < 0 ? refusal : { ...refusal, retryAfterMilliseconds };
-  return { answer, load, isShed };
+  return { answer, ...reports };
 }
--- a/packages/sidecar/src/lib/channel/malformedMessages.test.ts
+++ b/packages/sidecar/src/lib/channel/malformedMessages.test.ts
@@ -115,6 +115,8 @@
     wantsPolicy: false,
     policy: Buffer.alloc(0),
     update: false,
+    evacuations: undefined,
+    storeEra: 0,
   };
   test.equal(await node.link.exchange(fields), undefined);
   isFailing = false;
--- a/packages/sidecar/src/lib/peers/exchangeCodec.ts
+++ b/packages/sidecar/src/lib/peers/exchangeCodec.ts
@@ -35,6 +35,8 @@
     wantsPolicy,
     policy: policy ? Buffer.from(policy) : NO_BYTES,
     update: message.isUpdate,
+    evacuations: undefined,
+    storeEra: 0,
   };
 }
 
