platform: eras of the store in the interface, 0 everywhere

Cause: a restored store assigns its revisions again, so a revision means something only together with the era of the store, which the interface did not have. Change: StoreEra and NO_STORE_ERA, `era` on StoreEntry, StoreListing and on the put, removed, relisted and connected events, and Store.era(). The memory store, the etcd client and, for now, the client of the users' store always report 0. Result: nothing behaves differently. Types and lint pass; the store contract, the tests of platform/src/lib/store and those of the policy watcher pass (80 checks); nothing else was run.

--- a/packages/platform/src/lib/client/createStoreClient.ts
+++ b/packages/platform/src/lib/client/createStoreClient.ts
@@ -7,6 +7,7 @@
 
 import { checkValueSize } from '../store/checkValueSize';
 import { MAXIMUM_LEASE_ID } from '../store/MAXIMUM_LEASE_ID';
+import { NO_STORE_ERA } from '../store/NO_STORE_ERA';
 import { prefixRangeEnd } from '../store/prefixRangeEnd';
 import type { Store } from '../store/Store';
 import type { StoreLeaseId } from '../store/StoreLeaseId';
@@ -94,6 +95,7 @@
     grantLease,
     keepAlive: (leaseId) => runKeepAlive(connection, leaseId),
     revokeLease,
+    era: () => NO_STORE_ERA,
     close: () => {
       closed.next();
       connection.close();
--- a/packages/platform/src/lib/client/runRange.ts
+++ b/packages/platform/src/lib/client/runRange.ts
@@ -1,6 +1,7 @@
 import { success, type Result } from '@buckthornslip/common';
 import { etcdProtocol } from '@buckthornslip/wire';
 
+import { NO_STORE_ERA } from '../store/NO_STORE_ERA';
 import type { StoreError } from '../store/StoreError';
 import type { StoreListing } from '../store/StoreListing';
 import type { StoreRevision } from '../store/StoreRevision';
@@ -31,6 +32,6 @@
     );
     if (!result.ok) return result;
     const revision = (result.value.header?.revision ?? 0) as StoreRevision;
-    return success({ entries: result.value.kvs.map(toStoreEntry), revision });
+    return success({ entries: result.value.kvs.map(toStoreEntry), revision, era: NO_STORE_ERA });
   });
 }
--- a/packages/platform/src/lib/client/runWatchStream.ts
+++ b/packages/platform/src/lib/client/runWatchStream.ts
@@ -1,6 +1,7 @@
 import { etcdProtocol } from '@buckthornslip/wire';
 
 import { prefixRangeEnd } from '../store/prefixRangeEnd';
+import { NO_STORE_ERA } from '../store/NO_STORE_ERA';
 import type { StoreEvent } from '../store/StoreEvent';
 import type { StoreRevision } from '../store/StoreRevision';
 import type { StoreEndpoint } from './StoreEndpoint';
@@ -9,8 +10,9 @@
 function toStoreEvents(event: etcdProtocol.Event): StoreEvent[] {
   if (!event.kv) return [];
   const entry = toStoreEntry(event.kv);
-  if (event.type === etcdProtocol.Event_EventType.PUT) return [{ kind: 'put', entry }];
-  return [{ kind: 'removed', key: entry.key, revision: entry.revision }];
+  if (event.type === etcdProtocol.Event_EventType.PUT)
+    return [{ kind: 'put', entry, era: entry.era }];
+  return [{ kind: 'removed', key: entry.key, revision: entry.revision, era: entry.era }];
 }
 
 /** How a watch stream ended. */
@@ -45,7 +47,7 @@
     const receive = (response: etcdProtocol.WatchResponse): void => {
       const revision = (response.header?.revision ?? 0) as StoreRevision;
       if (response.created) {
-        emit({ kind: 'connected', revision });
+        emit({ kind: 'connected', revision, era: NO_STORE_ERA });
         if (nextRevision === 0) nextRevision = revision + 1;
       }
       response.events.flatMap(toStoreEvents).forEach(emit);
--- a/packages/platform/src/lib/memory/createMemoryStore.ts
+++ b/packages/platform/src/lib/memory/createMemoryStore.ts
@@ -5,6 +5,7 @@
 
 import { checkValueSize } from '../store/checkValueSize';
 import { MAXIMUM_LEASE_ID } from '../store/MAXIMUM_LEASE_ID';
+import { NO_STORE_ERA } from '../store/NO_STORE_ERA';
 import { prefixRangeEnd } from '../store/prefixRangeEnd';
 import type { Store } from '../store/Store';
 import type { StoreError } from '../store/StoreError';
@@ -102,7 +103,11 @@
     list: (prefix) =>
       run('list', () => {
         const entries = engine.range(prefix, prefixRangeEnd(prefix));
-        return success({ entries, revision: engine.revision() as StoreRevision });
+        return success({
+          entries,
+          revision: engine.revision() as StoreRevision,
+          era: NO_STORE_ERA,
+        });
       }),
     compareAndSwap,
     remove: (key, expected) =>
@@ -114,6 +119,7 @@
     grantLease,
     keepAlive,
     revokeLease,
+    era: () => NO_STORE_ERA,
     close: () => closed.next(),
   };
 }
--- a/packages/platform/src/lib/memory/createStoreEngine.ts
+++ b/packages/platform/src/lib/memory/createStoreEngine.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@buckthornslip/common';
 
+import { NO_STORE_ERA } from '../store/NO_STORE_ERA';
 import type { StoreRevision } from '../store/StoreRevision';
 import { createEngineLeases } from './createEngineLeases';
 import type { EngineChange } from './EngineChange';
@@ -22,6 +23,7 @@
     key: mutation.key,
     value: mutation.value,
     revision: revision as StoreRevision,
+    era: NO_STORE_ERA,
     createRevision: previous?.createRevision ?? revision,
     version: (previous?.version ?? 0) + 1,
     leaseId: mutation.leaseId,
--- a/packages/platform/src/lib/store/Store.ts
+++ b/packages/platform/src/lib/store/Store.ts
@@ -2,6 +2,7 @@
 import type { Observable } from 'rxjs';
 
 import type { StoreEntry } from './StoreEntry';
+import type { StoreEra } from './StoreEra';
 import type { StoreError } from './StoreError';
 import type { StoreEvent } from './StoreEvent';
 import type { StoreLease } from './StoreLease';
@@ -79,6 +80,9 @@
   /** Ends a lease and removes its keys. */
   readonly revokeLease: (leaseId: StoreLeaseId) => Promise<Result<void, StoreError>>;
 
+  /** @returns The highest era of the store that it has stated to this client; 0 if it has stated none. */
+  readonly era: () => StoreEra;
+
   /** Ends all watches and connections. */
   readonly close: () => void;
 }
--- a/packages/platform/src/lib/store/StoreEntry.ts
+++ b/packages/platform/src/lib/store/StoreEntry.ts
@@ -1,3 +1,4 @@
+import type { StoreEra } from './StoreEra';
 import type { StoreRevision } from './StoreRevision';
 
 /**
@@ -10,4 +11,6 @@
   readonly value: Uint8Array;
   /** Revision of the last change of this key. */
   readonly revision: StoreRevision;
+  /** Era of the store in which the entry was read, which is the era of its revision. */
+  readonly era: StoreEra;
 }
--- a/packages/sidecar/src/lib/testing/createHostStore.ts
+++ b/packages/sidecar/src/lib/testing/createHostStore.ts
@@ -95,7 +95,7 @@
         }
         events.forEach((event) => subscriber.next(event));
         known = Math.max(known, ...events.map(revisionOf));
-        subscriber.next({ kind: 'connected', revision: known as StoreRevision });
+        subscriber.next({ kind: 'connected', revision: known as StoreRevision, era: store.era() });
       };
       const watchUntilClosed = async (): Promise<void> => {
         while (!subscriber.closed) await next();
@@ -112,6 +112,7 @@
     grantLease: (milliseconds) => run(() => store.grantLease(milliseconds)),
     keepAlive: (leaseId) => run(() => store.keepAlive(leaseId)),
     revokeLease: (leaseId) => run(() => store.revokeLease(leaseId)),
+    era: store.era,
     close: () => undefined,
   };
 }
