config, routing, sidecar: routes and accounts may name allowed regions

Cause: an operator may be bound to serve a request only in certain regions, and the router sent it wherever there was capacity. Change: routes and accounts have allowedRegions. Each attempt gets the regions that both allow under the policy in force, and the router filters members by them. Without a ready member there, the call is refused not-run with region-not-allowed, which the throttle does not count as overload. The node that tries a suspect again is one of the allowed regions. Malformed regions allow no region; decoding returns them as faults, which are logged and counted with the rest of the policy in force. Regions without a known node are reported ten seconds after the policy came into force.

--- a/packages/calls/src/lib/entry/createCallForwarder.ts
+++ b/packages/calls/src/lib/entry/createCallForwarder.ts
@@ -99,6 +99,7 @@
     priority,
     bodyBytes,
     excludedHosts,
+    allowedRegions: undefined,
   });
   // When all nodes have been tried, the last node's refusal is more informative than that none is left.
   if (!chosen.ok) return progress.last ?? refuse(chosen.error.kind);
--- a/packages/common/src/lib/reasons/refusalCatalogue.ts
+++ b/packages/common/src/lib/reasons/refusalCatalogue.ts
@@ -29,6 +29,10 @@
   'deadline-unreachable': { status: 503, title: 'The call cannot finish before its deadline' },
   'deadline-exceeded': { status: 504, title: 'The deadline has passed' },
   'no-upstream': { status: 503, title: 'No upstream of the service is available' },
+  'region-not-allowed': {
+    status: 503,
+    title: 'No upstream of the service is in a region that may serve the request',
+  },
   'upstream-draining': { status: 503, title: 'The upstream is leaving' },
   'upstream-shed': { status: 503, title: 'The upstream refused the call' },
   'upstream-failed': { status: 502, title: 'The upstream failed' },
--- a/packages/config/src/lib/policy/PolicyAccount.ts
+++ b/packages/config/src/lib/policy/PolicyAccount.ts
@@ -1,4 +1,4 @@
-import type { AccountId } from '@buckthornslip/common';
+import type { AccountId, RegionId } from '@buckthornslip/common';
 
 /**
  * A client account in a sidecar's configuration.
@@ -13,4 +13,6 @@
   readonly ratePerSecond: number;
   /** Maximum burst of requests, over the whole fleet. */
   readonly burst: number;
+  /** Regions whose upstreams may serve the account's requests; undefined for all. */
+  readonly allowedRegions: ReadonlySet<RegionId> | undefined;
 }
--- a/packages/config/src/lib/policy/PolicyRoute.ts
+++ b/packages/config/src/lib/policy/PolicyRoute.ts
@@ -1,3 +1,5 @@
+import type { RegionId } from '@buckthornslip/common';
+
 import type { PolicyTarget } from './PolicyTarget';
 
 /** Direction in which a route carries large bodies, if any. */
@@ -32,4 +34,6 @@
   readonly targets: readonly PolicyTarget[];
   /** Maximum number of upstreams to which one request may be sent. */
   readonly maximumUpstreams: number;
+  /** Regions whose upstreams may serve the route's requests; undefined for all. */
+  readonly allowedRegions: ReadonlySet<RegionId> | undefined;
 }
--- a/packages/routing/src/lib/choice/RouteRequest.ts
+++ b/packages/routing/src/lib/choice/RouteRequest.ts
@@ -1,4 +1,4 @@
-import type { HostId, Priority, ServiceId } from '@buckthornslip/common';
+import type { HostId, Priority, RegionId, ServiceId } from '@buckthornslip/common';
 
 /**
  * Properties of a call that determine the choice of its serving node.
@@ -12,4 +12,6 @@
   readonly bodyBytes: number | undefined;
   /** Hosts already tried by earlier attempts of this call. */
   readonly excludedHosts: ReadonlySet<HostId>;
+  /** Regions in which a member may be chosen; undefined for all. */
+  readonly allowedRegions: ReadonlySet<RegionId> | undefined;
 }
--- a/packages/routing/src/lib/choice/RoutingRefusal.ts
+++ b/packages/routing/src/lib/choice/RoutingRefusal.ts
@@ -5,5 +5,6 @@
  */
 export type RoutingRefusal =
   | { readonly kind: 'no-upstream' }
+  | { readonly kind: 'region-not-allowed' }
   | { readonly kind: 'priority-cutoff' }
   | { readonly kind: 'link-budget' };
--- a/packages/routing/src/lib/choice/createRouter.test.ts
+++ b/packages/routing/src/lib/choice/createRouter.test.ts
@@ -74,7 +74,13 @@
   };
   const choose = async (priority: Priority = 'normal', bodyBytes = 0, excluded: HostId[] = []) => {
     const excludedHosts = new Set(excluded);
-    const result = await router.choose({ service: SERVICE, priority, bodyBytes, excludedHosts });
+    const result = await router.choose({
+      service: SERVICE,
+      priority,
+      bodyBytes,
+      excludedHosts,
+      allowedRegions: undefined,
+    });
     if (result.ok) count(result.value.host, 1);
     return result;
   };
--- a/packages/routing/src/lib/service/MemberTable.ts
+++ b/packages/routing/src/lib/service/MemberTable.ts
@@ -1,4 +1,4 @@
-import type { HostId } from '@buckthornslip/common';
+import type { HostId, RegionId } from '@buckthornslip/common';
 import type { Member } from '@buckthornslip/membership';
 
 import type { TrackedMember } from '../members/TrackedMember';
@@ -13,6 +13,8 @@
   readonly localities: () => readonly Locality[];
   readonly find: (host: HostId) => TrackedMember | undefined;
   readonly readyCount: () => number;
+  /** @returns Whether a ready member, ejected or not, is in one of the regions. */
+  readonly hasReadyIn: (regions: ReadonlySet<RegionId>) => boolean;
   readonly ejectedCount: (now: number) => number;
   /** @returns The other members that may be chosen now. */
   readonly otherAvailableMembers: (tracked: TrackedMember) => readonly TrackedMember[];
--- a/packages/routing/src/lib/service/createMemberTable.ts
+++ b/packages/routing/src/lib/service/createMemberTable.ts
@@ -38,6 +38,7 @@
     createLocality([]),
   );
   let readyCount = 0;
+  let readyRegions: readonly RegionId[] = [];
   let firstListAt = Infinity;
 
   const rebuild = (now: number): void => {
@@ -45,6 +46,7 @@
     all.forEach((tracked) => Object.assign(tracked, { locality: undefined }));
     const ready = all.filter(isReady);
     readyCount = ready.length;
+    readyRegions = [...new Set(ready.map(({ member }) => member.region))];
     limitEjections(ready, now);
     const available = ready.filter((tracked) => tracked.ejectedUntil <= now);
     localities = localities.map((_, index) =>
@@ -83,6 +85,7 @@
     localities: () => localities,
     find: (host) => trackedByHost.get(host),
     readyCount: () => readyCount,
+    hasReadyIn: (regions) => readyRegions.some((region) => regions.has(region)),
     ejectedCount: (now) =>
       [...trackedByHost.values()].filter((other) => isReady(other) && other.ejectedUntil > now)
         .length,
--- a/packages/routing/src/lib/service/createServiceRouter.ts
+++ b/packages/routing/src/lib/service/createServiceRouter.ts
@@ -45,6 +45,9 @@
   const isInOtherRegion = ({ member }: TrackedMember): boolean =>
     localityIndex(options, member) === OTHER_REGION;
 
+  const isInAllowedRegion = ({ region }: Member, { allowedRegions }: RouteRequest): boolean =>
+    allowedRegions === undefined || allowedRegions.has(region);
+
   const start = (tracked: TrackedMember): Result<Member, RoutingRefusal> => {
     Object.assign(tracked, { inFlight: tracked.inFlight + 1 });
     setCountedLoad(tracked, tracked.countedLoad + 1);
@@ -59,6 +62,7 @@
     const time = now();
     const rank = priorityRank[request.priority];
     const isAllowed = (tracked: TrackedMember): boolean =>
+      isInAllowedRegion(tracked.member, request) &&
       !request.excludedHosts.has(tracked.member.host) &&
       !exhaustedLinks.has(tracked.member.region) &&
       !isCutOff(tracked, rank, time, settings);
@@ -88,9 +92,13 @@
   const choose = (request: RouteRequest): Result<Member, RoutingRefusal> => {
     const time = now();
     const rank = priorityRank[request.priority];
+    const { allowedRegions } = request;
+    if (allowedRegions && !table.hasReadyIn(allowedRegions))
+      return failure({ kind: 'region-not-allowed' });
     const exhaustedLinks = new Set<RegionId>();
     let sawCutOff = false;
     for (const index of localityOrder(table.localities(), time, random, settings)) {
+      if (index !== OTHER_REGION && allowedRegions?.has(options.region) === false) continue;
       if (isLocalityCutOff(table.localities()[index]!, rank, time, settings)) {
         sawCutOff = true;
         continue;
--- a/packages/sidecar/src/index.ts
+++ b/packages/sidecar/src/index.ts
@@ -10,6 +10,8 @@
 export type { RequestHead } from './lib/protocol/RequestHead';
 export type { UpstreamHeaders } from './lib/protocol/UpstreamHeaders';
 export type { PolicyError } from './lib/policy/createPolicyWatcher';
+export type { DecodedPolicy } from './lib/policy/DecodedPolicy';
+export type { PolicyFault } from './lib/policy/PolicyFault';
 export { createSidecar } from './lib/process/createSidecar';
 export type { Sidecar } from './lib/process/Sidecar';
 export type { SidecarOptions } from './lib/process/SidecarOptions';
--- a/packages/sidecar/src/lib/entry/EntryCall.ts
+++ b/packages/sidecar/src/lib/entry/EntryCall.ts
@@ -1,3 +1,4 @@
+import type { RegionId } from '@buckthornslip/common';
 import type { PolicyRoute } from '@buckthornslip/config';
 
 import type { CallAttempt } from '../serving/CallAttempt';
@@ -13,4 +14,6 @@
   readonly call: CallAttempt;
   /** Nested calls of the same parent that have already completed; 0 for a call without a parent. */
   readonly finishedSiblings: number;
+  /** @returns Regions in which the next attempt may be made; undefined for all. */
+  readonly allowedRegions: () => ReadonlySet<RegionId> | undefined;
 }
--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -35,6 +35,7 @@
   rank: 2,
   targets: [{ service: SERVICE, weight: 1 }],
   maximumUpstreams: 2,
+  allowedRegions: undefined,
   ...changed,
 });
 
@@ -44,8 +45,9 @@
     route({ name: 'confirm', pathPrefix: '/confirm/', rank: 0 }),
     route({ name: 'inner', pathPrefix: '/inner/', access: 'open' }),
   ];
-  const urgent = { id: 'urgent' as AccountId, rank: 0, ratePerSecond: 0, burst: 0 };
-  const other = { id: 'other' as AccountId, rank: 1, ratePerSecond: 0, burst: 0 };
+  const unlimited = { ratePerSecond: 0, burst: 0, allowedRegions: undefined };
+  const urgent = { id: 'urgent' as AccountId, rank: 0, ...unlimited };
+  const other = { id: 'other' as AccountId, rank: 1, ...unlimited };
   return {
     revision: 1,
     routes,
--- a/packages/sidecar/src/lib/entry/createEntry.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.ts
@@ -10,6 +10,7 @@
 import { createPiecePacer } from '../http/createPiecePacer';
 import { readRequestBody } from '../http/readRequestBody';
 import { writeResponse } from '../http/writeResponse';
+import { regionsInForce } from '../policy/regionsInForce';
 import type { RequestHead } from '../protocol/RequestHead';
 import { createForwarder } from './createForwarder';
 import type { AcceptedRequest } from './AcceptedRequest';
@@ -49,6 +50,7 @@
 /** Refusals that say nothing about the load of a service. */
 const UNRELATED_TO_LOAD: ReadonlySet<RefusalReason> = new Set<RefusalReason>([
   'caller-gone',
+  'region-not-allowed',
   'suspected-crash',
 ]);
 
@@ -191,6 +193,7 @@
     return forwardThrottled(accepted, {
       route,
       finishedSiblings: accepted.parent?.finishedCalls() ?? 0,
+      allowedRegions: () => regionsInForce(policy.current(), accepted),
       call: {
         requestId: head.requestId as string,
         route: route.name,
--- a/packages/sidecar/src/lib/entry/createForwarder.ts
+++ b/packages/sidecar/src/lib/entry/createForwarder.ts
@@ -123,6 +123,7 @@
         priority: priorityOfRank(call.rank),
         bodyBytes: undefined,
         excludedHosts: progress.excludedHosts,
+        allowedRegions: entryCall.allowedRegions(),
       });
       if (!chosen.ok)
         return progress.finish(progress.attempts() > 0 ? last : refuse(chosen.error.kind));
--- a/packages/sidecar/src/lib/policy/createPolicyWatcher.ts
+++ b/packages/sidecar/src/lib/policy/createPolicyWatcher.ts
@@ -4,6 +4,8 @@
 import type { EventLogger } from '@buckthornslip/telemetry';
 import type { Subscription } from 'rxjs';
 
+import type { DecodedPolicy } from './DecodedPolicy';
+import type { PolicyFaultReporter } from './createPolicyFaultReporter';
 import type { PolicyKnowledge } from './PolicyKnowledge';
 import type { PolicyWatcher } from './PolicyWatcher';
 
@@ -19,7 +21,8 @@
   readonly store: Store;
   /** Key of the policy in the store. */
   readonly key: string;
-  readonly decode: (bytes: Uint8Array) => Result<CallPolicy, PolicyError>;
+  readonly decode: (bytes: Uint8Array) => Result<DecodedPolicy, PolicyError>;
+  readonly reportFaults: PolicyFaultReporter;
   readonly logger: EventLogger;
   /** @returns Part of the usual time after which the store confirms this watcher's policy for the first time. */
   readonly firstConfirmationShare: () => number;
@@ -62,7 +65,8 @@
  * @public
  */
 export function createPolicyWatcher(options: PolicyWatcherOptions): PolicyWatcher {
-  const { clock, decode, firstConfirmationShare, key, logger, onChange, store } = options;
+  const { clock, decode, firstConfirmationShare, key, logger, onChange, reportFaults, store } =
+    options;
   let policy: CallPolicy | undefined;
   let policyBytes: Uint8Array | undefined;
   let subscription: Subscription | undefined;
@@ -85,7 +89,7 @@
       logger.log('policyRejected', { source, error: decoded.error.message });
       return;
     }
-    const next = decoded.value;
+    const { faults, policy: next } = decoded.value;
     const previous = policy?.revision;
     if (previous !== undefined && next.revision <= previous) return;
     policy = next;
@@ -94,6 +98,7 @@
       newest = { revision: next.revision, confirmed: NEVER };
     }
     logger.log('policyInForce', { source, revision: next.revision, previous });
+    reportFaults(next.revision, faults);
     onChange(next);
     resolveAvailable();
   };
--- a/packages/sidecar/src/lib/process/SidecarOptions.ts
+++ b/packages/sidecar/src/lib/process/SidecarOptions.ts
@@ -8,11 +8,11 @@
   ServiceId,
   ZoneId,
 } from '@buckthornslip/common';
-import type { CallPolicy } from '@buckthornslip/config';
 import type { Store } from '@buckthornslip/platform';
 import type { EventLogger } from '@buckthornslip/telemetry';
 
 import type { PolicyError } from '../policy/createPolicyWatcher';
+import type { DecodedPolicy } from '../policy/DecodedPolicy';
 import type { CallProtocol } from '../protocol/CallProtocol';
 import type { FleetRetrySettings } from '../serving/FleetRetrySettings';
 
@@ -45,7 +45,7 @@
   readonly policyKey: string;
   /** Time within which a policy that the store has accepted must be in force, in milliseconds. */
   readonly policyApplyMilliseconds: number;
-  readonly decodePolicy: (bytes: Uint8Array) => Result<CallPolicy, PolicyError>;
+  readonly decodePolicy: (bytes: Uint8Array) => Result<DecodedPolicy, PolicyError>;
   readonly protocol: CallProtocol;
   readonly store: Store;
   readonly clock: Clock;
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -19,9 +19,12 @@
 import { createConnectionPools } from '../http/createConnectionPools';
 import { createPeerLinks } from '../peers/createPeerLinks';
 import { fromExchangeFields, toExchangeFields } from '../peers/exchangeCodec';
+import { createPolicyFaultReporter } from '../policy/createPolicyFaultReporter';
 import { createPolicyFetcher } from '../policy/createPolicyFetcher';
 import { createPolicyWatcher } from '../policy/createPolicyWatcher';
+import { createRegionCheck } from '../policy/createRegionCheck';
 import { policyKnowledgeOf } from '../policy/policyKnowledgeOf';
+import { regionsOfAttempt } from '../policy/regionsOfAttempt';
 import type { RouteTable } from '../policy/createRouteTable';
 import { createRouteTable } from '../policy/createRouteTable';
 import type { PriorityRanks } from '../policy/createPriorityRanks';
@@ -128,12 +131,14 @@
     maximumConnections: upstreamConnections,
   }));
 
+  const reportFaults = createPolicyFaultReporter(logger, metrics);
   const policy = createPolicyWatcher({
     clock,
     store,
     logger,
     key: options.policyKey,
     decode: options.decodePolicy,
+    reportFaults,
     firstConfirmationShare: () => relayShare(),
     onChange: (next) => applyPolicy(next),
   });
@@ -228,6 +233,11 @@
     upstream.restoreDeparture(departure);
   }
 
+  const regionCheck = createRegionCheck({
+    clock,
+    knownRegions: () => new Set([region, ...directory.livePeers().map((peer) => peer.region)]),
+    report: reportFaults,
+  });
   const allowanceOf = (account: AccountId) => policy.current()?.accounts.get(account);
   const ledger = createAccountLedger(clock, {
     allowanceOf,
@@ -264,8 +274,11 @@
       const current = upstream.current();
       if (current && isSameStart(current.instance, start)) upstream.markLost();
     },
-    isTrialNode: (fingerprint) => {
-      const nodes = directory.members(service).filter(({ state }) => state === 'ready');
+    isTrialNode: (fingerprint, call) => {
+      const allowed = regionsOfAttempt(policy.current(), call);
+      const nodes = directory
+        .members(service)
+        .filter((node) => node.state === 'ready' && (allowed?.has(node.region) ?? true));
       const [first] = rankMembers(`suspect/${fingerprint}` as PartitionId, nodes);
       return first?.host === host;
     },
@@ -336,6 +349,7 @@
     priorityRanks = createPriorityRanks(next);
     upstreamConnections = next.services.get(service)?.connections ?? upstreamConnections;
     callers.apply(next.requestLimits);
+    regionCheck.start(next);
     directory.announcePolicy();
   }
 
@@ -402,6 +416,7 @@
     policy.close();
     upstream.close();
     suspects.close();
+    regionCheck.close();
     router.close();
     links.close();
     upstreamConnectionPools.close();
--- a/packages/sidecar/src/lib/process/createSidecarMetrics.ts
+++ b/packages/sidecar/src/lib/process/createSidecarMetrics.ts
@@ -1,6 +1,8 @@
 import type { Outcome, RefusalReason, RetryReason } from '@buckthornslip/common';
 import { createMetrics } from '@buckthornslip/telemetry';
-import { Gauge, Histogram } from 'prom-client';
+import { Counter, Gauge, Histogram } from 'prom-client';
+
+import type { PolicyFaultKind } from '../policy/PolicyFault';
 
 /** Upper bounds of the latency histogram, in seconds. */
 const LATENCY_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8];
@@ -11,6 +13,7 @@
 export interface SidecarMetrics {
   readonly countRefusal: (reason: RefusalReason, outcome: Outcome) => void;
   readonly countRetry: (reason: RetryReason) => void;
+  readonly countPolicyFault: (kind: PolicyFaultKind) => void;
   /** @param milliseconds - Time from the arrival of the request to the end of the response. */
   readonly observeCall: (route: string, status: number, milliseconds: number) => void;
   /** Adds a gauge that is read when the metrics are scraped; its name gets the project's prefix. */
@@ -33,9 +36,16 @@
     buckets: LATENCY_SECONDS,
     registers: [registry],
   });
+  const policyFaults = new Counter({
+    name: 'buckthornslip_policy_faults_total',
+    help: 'Faults of policies that did not keep the rest from being in force, by kind',
+    labelNames: ['kind'],
+    registers: [registry],
+  });
   return {
     countRefusal: metrics.countRefusal,
     countRetry: metrics.countRetry,
+    countPolicyFault: (kind) => policyFaults.inc({ kind }),
     observeCall: (route, status, milliseconds) => {
       const statusClass = `${Math.floor(status / 100)}xx`;
       calls.observe({ route, status: statusClass }, milliseconds / MILLISECONDS_PER_SECOND);
--- a/packages/sidecar/src/lib/process/sidecarRouterSettings.test.ts
+++ b/packages/sidecar/src/lib/process/sidecarRouterSettings.test.ts
@@ -57,7 +57,12 @@
     return now;
   };
   const call = async (): Promise<HostId | undefined> => {
-    const request = { service: SERVICE, priority: 'normal', bodyBytes: undefined } as const;
+    const request = {
+      service: SERVICE,
+      priority: 'normal',
+      bodyBytes: undefined,
+      allowedRegions: undefined,
+    } as const;
     const chosen = await router.choose({ ...request, excludedHosts: new Set() });
     if (!chosen.ok) return undefined;
     const { host } = chosen.value;
--- a/packages/sidecar/src/lib/serving/createSuspects.ts
+++ b/packages/sidecar/src/lib/serving/createSuspects.ts
@@ -23,8 +23,8 @@
   readonly refusesConnections: (address: string) => Promise<boolean>;
   /** Called when the upstream's process has ended while calls were running. */
   readonly onCrash: (start: UpstreamStart) => void;
-  /** @returns Whether this node is the one of the service that may try a request again once it is no longer refused. */
-  readonly isTrialNode: (fingerprint: string) => boolean;
+  /** @returns Whether this node is the one of the allowed regions that may try a request again once it is no longer refused. */
+  readonly isTrialNode: (fingerprint: string, call: CallAttempt) => boolean;
   /** @returns The other nodes of the service. */
   readonly peers: () => readonly SuspectPeer[];
 }
@@ -183,9 +183,9 @@
   };
 
   /** After its refusal, a request that has crashed upstreams is tried once, at one node, so that it crashes one at most. */
-  const mayTry = (fingerprint: string): boolean =>
+  const mayTry = (fingerprint: string, tried: CallAttempt): boolean =>
     table.classify(fingerprint) !== 'refused' &&
-    isTrialNode(fingerprint) &&
+    isTrialNode(fingerprint, tried) &&
     !unanswered.isRunning((call) => fingerprintOf(call) === fingerprint);
 
   return {
@@ -195,7 +195,7 @@
       const crashes = table.failuresOf(fingerprint);
       const isDenied =
         (call.isRepeat && crashes >= CRASHES_TO_DENY_RETRIES) ||
-        (crashes >= CRASHES_TO_REFUSE && !mayTry(fingerprint));
+        (crashes >= CRASHES_TO_REFUSE && !mayTry(fingerprint, call));
       if (!isDenied) return undefined;
       const { isRepeat, requestId } = call;
       logger.log('suspectRefused', { requestId, fingerprint, crashes, isRepeat });
--- a/packages/sidecar/src/lib/testing/createDirectoryFleet.ts
+++ b/packages/sidecar/src/lib/testing/createDirectoryFleet.ts
@@ -20,6 +20,7 @@
 import type { MemberDirectory } from '../directory/MemberDirectory';
 import { createPolicyFetcher } from '../policy/createPolicyFetcher';
 import type { PolicyError } from '../policy/createPolicyWatcher';
+import type { DecodedPolicy } from '../policy/DecodedPolicy';
 import { createPolicyWatcher } from '../policy/createPolicyWatcher';
 import type { PolicyWatcher } from '../policy/PolicyWatcher';
 import { createHostStore } from './createHostStore';
@@ -79,15 +80,16 @@
 const POLICY_KEY = 'policy';
 
 /** Decodes a policy that consists of its revision only. */
-function decodeTestPolicy(bytes: Uint8Array): Result<CallPolicy, PolicyError> {
-  return success({
+function decodeTestPolicy(bytes: Uint8Array): Result<DecodedPolicy, PolicyError> {
+  const policy: CallPolicy = {
     revision: Number(Buffer.from(bytes).toString()),
     routes: [],
     services: new Map(),
     accounts: new Map(),
     accountOfKey: new Map(),
     requestLimits: { headBytes: 0, bodyBytes: 0, headMilliseconds: 0, idleMilliseconds: 0 },
-  });
+  };
+  return success({ policy, faults: [] });
 }
 
 const addressOf = (host: string): string => `${host}:7000`;
@@ -173,6 +175,7 @@
       store: hostStore,
       key: POLICY_KEY,
       decode: decodeTestPolicy,
+      reportFaults: () => undefined,
       logger,
       firstConfirmationShare: () => directories.get(host)?.relayShare() ?? 1,
       onChange: () => directories.get(host)?.announcePolicy(),
--- a/packages/telemetry/src/lib/events/sidecarEvents.ts
+++ b/packages/telemetry/src/lib/events/sidecarEvents.ts
@@ -108,6 +108,13 @@
     message: 'policy is invalid; the earlier one stays in force',
     action: 'Check the configuration that was written to the store.',
   },
+  policyFaulty: {
+    number: 7309,
+    level: 'warn',
+    message:
+      'fields of the policy are invalid or name regions in which no node is known; the rest is in force',
+    action: 'Check these fields of the configuration that was written to the store.',
+  },
   policySourceLost: {
     number: 7302,
     level: 'warn',
