wire: an answer says that a nested call was refused for lack of room

A nested call that fails with a status of its upstream does not show whether a call below it was refused. With the flag, the failure is known at every level of the chain. Nothing sets it yet. Types and lint pass.

--- a/packages/sidecar/src/lib/channel/callFrames.ts
+++ b/packages/sidecar/src/lib/channel/callFrames.ts
@@ -109,6 +109,7 @@
   const shed = result.isShed ?? false;
   const serviceMilliseconds = result.serviceMilliseconds ?? 0;
   const nestedShare = result.nestedShare ?? 0;
+  const nestedRefused = result.isNestedRefused ?? false;
   if (answer.kind === 'refusal') {
     return {
       id,
@@ -123,6 +124,7 @@
       shed,
       serviceMilliseconds,
       nestedShare,
+      nestedRefused,
     };
   }
   return {
@@ -138,6 +140,7 @@
     shed,
     serviceMilliseconds,
     nestedShare,
+    nestedRefused,
   };
 }
 
@@ -157,6 +160,7 @@
     isShed: message.shed,
     serviceMilliseconds: message.serviceMilliseconds || undefined,
     nestedShare: message.nestedShare || undefined,
+    isNestedRefused: message.nestedRefused,
   };
   if (refusalReason === '') {
     return {
--- a/packages/sidecar/src/lib/serving/AttemptResult.ts
+++ b/packages/sidecar/src/lib/serving/AttemptResult.ts
@@ -35,4 +35,6 @@
    * it is not known.
    */
   readonly nestedShare?: number | undefined;
+  /** Whether the call failed because a call below it was refused for lack of room. */
+  readonly isNestedRefused?: boolean;
 }
