--- a/packages/calls/src/lib/entry/isRetriedReason.ts
+++ b/packages/calls/src/lib/entry/isRetriedReason.ts
@@ -12,6 +12,7 @@
   'upstream-silent',
   'peer-unreachable',
   'node-stopping',
+  'zone-evacuated',
 ]);
 
 /**
--- a/packages/common/src/lib/reasons/refusalCatalogue.ts
+++ b/packages/common/src/lib/reasons/refusalCatalogue.ts
@@ -30,6 +30,7 @@
   'deadline-exceeded': { status: 504, title: 'The deadline has passed' },
   'no-upstream': { status: 503, title: 'No upstream of the service is available' },
   'upstream-draining': { status: 503, title: 'The upstream is leaving' },
+  'zone-evacuated': { status: 503, title: 'The availability zone is being evacuated' },
   'upstream-shed': { status: 503, title: 'The upstream refused the call' },
   'upstream-failed': { status: 502, title: 'The upstream failed' },
   'upstream-silent': { status: 504, title: 'The upstream did not answer in time' },
--- a/packages/telemetry/src/lib/events/sidecarEvents.ts
+++ b/packages/telemetry/src/lib/events/sidecarEvents.ts
@@ -133,6 +133,44 @@
     level: 'warn',
     message: 'newer policy could not be fetched from another node',
   },
+  evacuationOrdered: {
+    number: 7320,
+    level: 'warn',
+    message: 'zone is evacuated; its upstreams get no new calls',
+  },
+  evacuationEnded: {
+    number: 7321,
+    level: 'warn',
+    message: 'evacuation of a zone has ended',
+  },
+  evacuationRetained: {
+    number: 7322,
+    level: 'warn',
+    message: 'store has returned from a backup without an order; it stays in force for a while',
+    action: 'Write the order again if the zone is still to be evacuated.',
+  },
+  evacuationKeyRejected: {
+    number: 7323,
+    level: 'error',
+    message: 'evacuation order without a readable name of a zone ignored',
+    action: 'Remove the key, and write the one with the name of the zone.',
+  },
+  evacuationZoneUnknown: {
+    number: 7324,
+    level: 'warn',
+    message: 'evacuation order for a zone without nodes has no effect',
+    action: 'Compare the name in the key with the zones in the settings.',
+  },
+  ownZoneEvacuated: {
+    number: 7325,
+    level: 'warn',
+    message: 'zone of this node is evacuated; calls for its upstream are refused',
+  },
+  ownZoneRestored: {
+    number: 7326,
+    level: 'warn',
+    message: 'zone of this node is no longer evacuated; its upstream gets calls again',
+  },
   storeLost: {
     number: 7304,
     level: 'warn',
