sidecar: a request that waited for a connection can be withheld

Cause: with fewer connections than slots a request waits for a connection of the pool, and would be sent after its zone has been evacuated. Change: exchange asks maySend when the request gets its connection, and fails with withheld without sending anything. Result: exchange.test.ts passes; the new test shows that the server gets nothing.

--- a/packages/sidecar/src/lib/http/ExchangeRequest.ts
+++ b/packages/sidecar/src/lib/http/ExchangeRequest.ts
@@ -19,6 +19,10 @@
   readonly headers: readonly string[];
   readonly body: RequestBody;
   readonly scope: CallScope;
+  /**
+   * @returns Whether the request may be sent now. Asked when it gets a connection, for which it may have waited.
+   */
+  readonly maySend?: () => boolean;
   /** @returns Whether the response belongs to this request. */
   readonly isExpectedResponse: (response: IncomingMessage) => boolean;
   /**
--- a/packages/sidecar/src/lib/http/ExchangeResult.ts
+++ b/packages/sidecar/src/lib/http/ExchangeResult.ts
@@ -9,6 +9,8 @@
 export type ExchangeFailure =
   /** The connection could not be established; nothing was sent. */
   | 'unconnected'
+  /** The request was no longer allowed when it got a connection; nothing was sent. */
+  | 'withheld'
   /** The connection ended before a response head. */
   | 'reset'
   /** The response ended prematurely. */
--- a/packages/sidecar/src/lib/http/exchange.test.ts
+++ b/packages/sidecar/src/lib/http/exchange.test.ts
@@ -479,3 +479,21 @@
     },
   );
 });
+
+// Guards against a request that has waited for a connection and is sent although its node may not send any more.
+void t.test('a request that may no longer be sent is withheld', async (test) => {
+  let received = 0;
+  const answer = (socket: Socket): void => {
+    received += 1;
+    socket.write(FRAMED);
+  };
+  await withServer(answer, async (get, pool) => {
+    await get();
+    const scope = createCallScope(clock, 1_000);
+    const maySend = (): boolean => false;
+    const result = await exchange({ ...ANY_RESPONSE, pool, scope, maySend });
+    test.same(result, { kind: 'failed', failure: 'withheld', sent: false });
+    test.equal((await get()).kind, 'whole');
+    test.equal(received, 2);
+  });
+});
--- a/packages/sidecar/src/lib/http/exchange.ts
+++ b/packages/sidecar/src/lib/http/exchange.ts
@@ -141,6 +141,10 @@
     };
 
     request.once('socket', (socket: Socket) => {
+      if (options.maySend?.() === false) {
+        fail('withheld');
+        return;
+      }
       if (!socket.connecting) {
         isSent = true;
         return;
