sidecar, platform: a zone is evacuated by a key in the store

Nodes watched the key of the policy only. Change: the policy watcher lists the operator's prefix once and watches it from the revision of the listing, so that one read gives policy and orders, and one poll confirms both. Directory messages carry the orders if there are any, if they ended lately, or if the receiver has no policy or states older ones; the answer with a policy always does. Relays announce changes at once. The serving node refuses calls, also queued ones, and announces its upstream as draining; a node that does not know the orders serves nothing. Routers skip members of evacuated zones. Three gauges. turnedAwayRelays.test.ts counts list calls as well, because the policy is now read by a listing; the bound is the same.

--- a/packages/sidecar/src/lib/directory/DirectoryMessage.ts
+++ b/packages/sidecar/src/lib/directory/DirectoryMessage.ts
@@ -1,5 +1,7 @@
 import type { Member } from '@buckthornslip/membership';
 
+import type { EvacuationStatement } from '../evacuation/EvacuationStatement';
+
 /**
  * Message between two nodes: either an anti-entropy exchange, in which they compare their member tables, or an update that
  * only passes changes on.
@@ -15,6 +17,8 @@
   readonly policyRevision: number;
   /** Time since the store confirmed that no newer policy exists, in milliseconds; Infinity if the sender does not know it. */
   readonly policyAgeMilliseconds: number;
+  /** Evacuated zones that the sender knows; undefined if there are none, unless the receiver may not know that. */
+  readonly evacuations: EvacuationStatement | undefined;
   /** Changed records in an update. In the answer to an exchange, all records if the digests differ. */
   readonly members: readonly Member[];
   readonly isUpdate: boolean;
--- a/packages/sidecar/src/lib/directory/MemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/MemberDirectory.ts
@@ -26,8 +26,8 @@
   readonly whenInformed: () => Promise<void>;
   /** Changes this node's record and sends it to the other nodes. */
   readonly update: (change: SelfUpdate) => void;
-  /** Passes the revision of the current policy on, if this node is a relay. */
-  readonly announcePolicy: () => void;
+  /** Passes the revision of the current policy and the evacuated zones on, if this node is a relay. */
+  readonly announceOrders: () => void;
   /** @returns Position of this node among the relays of its zone, as a part of their number; 1 if it is no relay. */
   readonly relayShare: () => number;
   /** @returns All other nodes that are considered alive. */
--- a/packages/sidecar/src/lib/directory/createMemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/createMemberDirectory.ts
@@ -4,6 +4,7 @@
 import type { EventLogger } from '@buckthornslip/telemetry';
 import { first, firstValueFrom, merge } from 'rxjs';
 
+import type { EvacuationStatement } from '../evacuation/EvacuationStatement';
 import type { PolicyAnnouncement } from '../policy/createPolicyFetcher';
 import type { PolicyKnowledge } from '../policy/PolicyKnowledge';
 import { policyKnowledgeOf } from '../policy/policyKnowledgeOf';
@@ -43,6 +44,13 @@
   readonly policyKnowledge: () => PolicyKnowledge;
   /** Called with what another node knows of the policy in the store. */
   readonly onPolicyKnowledge: (knowledge: PolicyKnowledge) => void;
+  /**
+   * @returns The evacuated zones to state in a message.
+   * @param received - The message that is answered, if any.
+   */
+  readonly evacuationsToSend: (received?: DirectoryMessage) => EvacuationStatement | undefined;
+  /** Called with the evacuated zones that another node knows. */
+  readonly onEvacuations: (statement: EvacuationStatement, source: string) => void;
   /** @returns Whether a connection to or from any other node is open. */
   readonly hasConnections: () => boolean;
   /** Called when another node has a newer policy. */
@@ -139,11 +147,16 @@
     onFollowPolicy: options.onFollowPolicy,
   });
 
-  const message = (members: readonly Member[], isUpdate: boolean): DirectoryMessage => ({
+  const message = (
+    members: readonly Member[],
+    isUpdate: boolean,
+    received?: DirectoryMessage,
+  ): DirectoryMessage => ({
     from: self,
     digest: table.digest(),
     policyRevision: policyRevision(),
     policyAgeMilliseconds: policyKnowledge().ageMilliseconds,
+    evacuations: options.evacuationsToSend(received),
     members,
     isUpdate,
   });
@@ -279,6 +292,7 @@
   };
 
   const applyMessage = (received: DirectoryMessage): void => {
+    if (received.evacuations) options.onEvacuations(received.evacuations, received.from.host);
     applyRecord(received.from, 'itself', isRelay());
     markSeen(received.from);
     const passesOn = received.members.length > 0 && isRelay();
@@ -473,9 +487,9 @@
     update: (change) => {
       void changeSelf(change);
     },
-    announcePolicy: () => {
+    announceOrders: () => {
       if (!isRelay() && !duty.isStandIn()) return;
-      // A stand-in tells its relays, which pass the policy on.
+      // A stand-in tells its relays, which pass the orders on.
       const told = isRelay() ? [...zonePeers(), ...remoteRelays()] : otherRelays();
       told.forEach((member) => {
         void sendUpdate(member, []);
@@ -498,8 +512,8 @@
       applyMessage(received);
       const differs = received.digest !== table.digest();
       const own = earlier && isToldOfEarlier(received.from, earlier) ? [earlier] : [];
-      if (differs && !received.isUpdate) return message([...table.all(), ...own], false);
-      return message(own, received.isUpdate);
+      if (differs && !received.isUpdate) return message([...table.all(), ...own], false, received);
+      return message(own, received.isUpdate, received);
     },
     leave: async () => {
       await changeSelf({ state: 'left' });
--- a/packages/sidecar/src/lib/directory/turnedAwayRelays.test.ts
+++ b/packages/sidecar/src/lib/directory/turnedAwayRelays.test.ts
@@ -78,13 +78,17 @@
   hosts.forEach((host) => fleet.turnedAway.set(host, 'silent'));
   await fleet.clock.advance(4_500);
   test.ok(fleet.followers.size < hosts.length / 2, `${fleet.followers.size} nodes follow`);
-  const { get, watch } = fleet.store.calls;
+  const callCount = (): number => {
+    const { get, list, watch } = fleet.store.calls;
+    return get + list + watch;
+  };
+  const before = callCount();
   fleet.turnedAway.clear();
   await fleet.clock.advance(1_000);
   await fleet.publish(2);
   await fleet.clock.advance(POLICY_APPLY_MILLISECONDS);
   test.same([...new Set(hosts.map((host) => fleet.policyRevision(host)))], [2]);
-  const calls = fleet.store.calls.get + fleet.store.calls.watch - get - watch;
+  const calls = callCount() - before;
   test.ok(calls < 2 * hosts.length, `${calls} calls after the outage`);
 });
 
--- a/packages/sidecar/src/lib/entry/createEntry.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.ts
@@ -50,6 +50,7 @@
 const UNRELATED_TO_LOAD: ReadonlySet<RefusalReason> = new Set<RefusalReason>([
   'caller-gone',
   'suspected-crash',
+  'zone-evacuated',
 ]);
 
 function isSuccess(answer: ForwardResult['answer']): boolean {
--- a/packages/sidecar/src/lib/entry/createForwarder.ts
+++ b/packages/sidecar/src/lib/entry/createForwarder.ts
@@ -35,12 +35,14 @@
   'upstream-draining',
   'upstream-failed',
   'upstream-shed',
+  'zone-evacuated',
 ]);
 
 /** Refusals which show that the router has a stale state of the serving node. */
 const STALE_STATE_REASONS: ReadonlySet<RefusalReason> = new Set<RefusalReason>([
   'no-upstream',
   'upstream-draining',
+  'zone-evacuated',
 ]);
 
 type ReportOutcome = AttemptReport['outcome'];
--- a/packages/sidecar/src/lib/peers/exchangeCodec.test.ts
+++ b/packages/sidecar/src/lib/peers/exchangeCodec.test.ts
@@ -23,6 +23,7 @@
   digest: '',
   policyRevision: 3,
   policyAgeMilliseconds,
+  evacuations: undefined,
   members: [],
   isUpdate: true,
 });
--- a/packages/sidecar/src/lib/peers/exchangeCodec.ts
+++ b/packages/sidecar/src/lib/peers/exchangeCodec.ts
@@ -2,6 +2,7 @@
 
 import type { ExchangeFields } from '../channel/PeerLink';
 import type { DirectoryMessage } from '../directory/DirectoryMessage';
+import { fromEvacuationFields, toEvacuationFields } from '../evacuation/evacuationCodec';
 import { fromMemberMessage, toMemberMessage } from '../directory/memberMessages';
 
 const NO_BYTES = Buffer.alloc(0);
@@ -35,7 +36,7 @@
     wantsPolicy,
     policy: policy ? Buffer.from(policy) : NO_BYTES,
     update: message.isUpdate,
-    evacuations: undefined,
+    evacuations: toEvacuationFields(message.evacuations),
     storeEra: 0,
   };
 }
@@ -53,6 +54,7 @@
     digest: fields.digest,
     policyRevision: fields.policyRevision,
     policyAgeMilliseconds: fromWireAge(fields.policyAgeMilliseconds),
+    evacuations: fromEvacuationFields(fields.evacuations),
     isUpdate: fields.update,
     members: fields.members
       .map(fromMemberMessage)
--- a/packages/sidecar/src/lib/policy/PolicyWatcher.ts
+++ b/packages/sidecar/src/lib/policy/PolicyWatcher.ts
@@ -25,7 +25,7 @@
   readonly learn: (knowledge: PolicyKnowledge) => void;
   /** Applies a policy received from another node if it is newer. */
   readonly offer: (bytes: Uint8Array, source: string) => void;
-  /** Reads the policy from the store once, unless it is followed. */
+  /** Reads the policy and the evacuation orders from the store once, unless they are followed. */
   readonly refresh: () => void;
   /** Starts or stops following the policy in the store. */
   readonly setFollowing: (follows: boolean) => void;
--- a/packages/sidecar/src/lib/policy/createPolicyWatcher.test.ts
+++ b/packages/sidecar/src/lib/policy/createPolicyWatcher.test.ts
@@ -4,23 +4,34 @@
 import { createSilentLogger } from '@buckthornslip/telemetry';
 import t from 'tap';
 
+import { createEvacuationOrders } from '../evacuation/createEvacuationOrders';
 import { createPolicyWatcher } from './createPolicyWatcher';
 
-const KEY = 'policy';
+const PREFIX = 'operator/';
+const KEY = `${PREFIX}policy`;
 
 function createWatcher() {
   const clock = createFakeClock();
   const store = createMemoryStore({ clock });
+  const logger = createSilentLogger();
+  const orders = createEvacuationOrders({
+    clock,
+    logger,
+    keyPrefix: `${PREFIX}evacuate/`,
+    retentionMilliseconds: 4_000,
+  });
   const watcher = createPolicyWatcher({
     clock,
     store,
     key: KEY,
+    prefix: PREFIX,
+    evacuations: orders,
     decode: ([revision]) => success({ revision } as CallPolicy),
-    logger: createSilentLogger(),
+    logger,
     firstConfirmationShare: () => 1,
     onChange: () => undefined,
   });
-  return { clock, store, watcher };
+  return { clock, orders, store, watcher };
 }
 
 // Guards against a policy that counts as the newest although its node has never been told so.
--- a/packages/sidecar/src/lib/policy/createPolicyWatcher.ts
+++ b/packages/sidecar/src/lib/policy/createPolicyWatcher.ts
@@ -1,9 +1,16 @@
 import type { Clock, Result } from '@buckthornslip/common';
 import type { CallPolicy } from '@buckthornslip/config';
-import type { Store, StoreEntry, StoreError, StoreEvent } from '@buckthornslip/platform';
+import type {
+  Store,
+  StoreEntry,
+  StoreError,
+  StoreEvent,
+  StoreListing,
+} from '@buckthornslip/platform';
 import type { EventLogger } from '@buckthornslip/telemetry';
 import type { Subscription } from 'rxjs';
 
+import type { EvacuationOrders } from '../evacuation/EvacuationOrders';
 import type { PolicyKnowledge } from './PolicyKnowledge';
 import type { PolicyWatcher } from './PolicyWatcher';
 
@@ -19,6 +26,10 @@
   readonly store: Store;
   /** Key of the policy in the store. */
   readonly key: string;
+  /** Prefix of all keys that the operator writes, among them the policy and the evacuation orders. */
+  readonly prefix: string;
+  /** The evacuation orders, which are read and followed together with the policy. */
+  readonly evacuations: Pick<EvacuationOrders, 'statement' | 'replace' | 'apply'>;
   readonly decode: (bytes: Uint8Array) => Result<CallPolicy, PolicyError>;
   readonly logger: EventLogger;
   /** @returns Part of the usual time after which the store confirms this watcher's policy for the first time. */
@@ -54,20 +65,32 @@
 const RETRY_MILLISECONDS = 400;
 
 /**
- * Creates the policy watcher. While it follows the store, it reads the policy once and then watches its key. Other nodes
- * may provide a newer policy, which keeps a node up to date while it doesn't follow the store or can't reach it.
+ * Creates the policy watcher. While it follows the store, it lists the operator's keys once and then watches their prefix from
+ * the revision of the listing, so that it misses neither a policy nor the start or end of an evacuation. Other nodes may
+ * provide a newer policy, which keeps a node up to date while it doesn't follow the store or can't reach it.
  *
  * @param options - Dependencies, such as the store, the decoder and the change listener.
  * @returns The watcher, which does not follow the store yet.
  * @public
  */
 export function createPolicyWatcher(options: PolicyWatcherOptions): PolicyWatcher {
-  const { clock, decode, firstConfirmationShare, key, logger, onChange, store } = options;
+  const {
+    clock,
+    decode,
+    evacuations,
+    firstConfirmationShare,
+    key,
+    logger,
+    onChange,
+    prefix,
+    store,
+  } = options;
   let policy: CallPolicy | undefined;
   let policyBytes: Uint8Array | undefined;
   let subscription: Subscription | undefined;
   let isFollowing = false;
   let isClosed = false;
+  let isRepeating = false;
   let resolveAvailable = (): void => undefined;
   const available = new Promise<void>((resolve) => {
     resolveAvailable = resolve;
@@ -130,12 +153,16 @@
   const handlers: {
     readonly [Kind in StoreEvent['kind']]: (event: StoreEvent & { readonly kind: Kind }) => void;
   } = {
-    put: ({ entry }) => applyEntry(entry),
-    relisted: ({ entries }) => {
-      entries.forEach(applyEntry);
+    put: (event) => {
+      evacuations.apply(event);
+      applyEntry(event.entry);
+    },
+    relisted: (listing) => {
+      evacuations.replace(listing);
+      listing.entries.forEach(applyEntry);
       confirm();
     },
-    removed: () => undefined,
+    removed: evacuations.apply,
     connected: () => {
       setReachable(true);
       confirm();
@@ -143,21 +170,36 @@
     disconnected: () => setReachable(false),
   };
 
-  const read = async (): Promise<Result<StoreEntry | undefined, StoreError>> => {
-    const result = await store.get(key);
+  const read = async (): Promise<Result<StoreListing, StoreError>> => {
+    const before = evacuations.statement();
+    const result = await store.list(prefix);
     if (isClosed || !result.ok) return result;
-    if (result.value) applyEntry(result.value);
+    // The orders come first: a node serves as soon as it has a policy.
+    evacuations.replace(result.value, before);
+    result.value.entries.forEach(applyEntry);
     confirm();
     return result;
   };
 
+  /** A node that knows a policy but no orders does not serve, so it repeats a failed read. */
+  const readOnce = async (): Promise<void> => {
+    const { ok } = await read();
+    if (ok || isRepeating) return;
+    isRepeating = true;
+    while (!evacuations.statement() && !isFollowing && !isClosed) {
+      await clock.sleep(RETRY_MILLISECONDS);
+      await read();
+    }
+    isRepeating = false;
+  };
+
   const readAndWatch = async (isCurrent: () => boolean): Promise<void> => {
     while (isCurrent()) {
       const result = await read();
       if (!isCurrent()) return;
       if (result.ok) {
-        const revision = result.value?.revision ?? 0;
-        const watch = store.watch(key, revision + 1, { firstConfirmationShare });
+        const { revision } = result.value;
+        const watch = store.watch(prefix, revision + 1, { firstConfirmationShare });
         subscription = watch.subscribe((event) => {
           handlers[event.kind](event as never);
         });
@@ -176,7 +218,7 @@
     learn,
     offer: apply,
     refresh: () => {
-      if (!isFollowing) void read();
+      if (!isFollowing) void readOnce();
     },
     setFollowing: (follows) => {
       isFollowing = follows;
--- a/packages/sidecar/src/lib/process/SidecarOptions.ts
+++ b/packages/sidecar/src/lib/process/SidecarOptions.ts
@@ -43,9 +43,17 @@
   readonly stopMilliseconds: number;
   /** Key of the policy in the store. */
   readonly policyKey: string;
+  /** Prefix of all keys that the operator writes; the policy and the evacuation orders are among them. */
+  readonly operatorPrefix: string;
+  /** Prefix of the keys that order evacuations; the name of a zone follows it. */
+  readonly evacuationPrefix: string;
+  /** Time for which an order that a restored store lacks stays in force, in milliseconds. */
+  readonly orderRetentionMilliseconds: number;
   /** Time within which a policy that the store has accepted must be in force, in milliseconds. */
   readonly policyApplyMilliseconds: number;
   readonly decodePolicy: (bytes: Uint8Array) => Result<CallPolicy, PolicyError>;
+  /** Called when an evacuation of this node's zone has ended, before its upstream gets calls again. */
+  readonly onOwnZoneRestored?: () => void;
   readonly protocol: CallProtocol;
   readonly store: Store;
   readonly clock: Clock;
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -6,6 +6,7 @@
 import { createAccountLedger, createLedgerRateLimiter } from '@buckthornslip/limits';
 import type { Member, MemberDeparture } from '@buckthornslip/membership';
 import { createRouter } from '@buckthornslip/routing';
+import { skipWhile } from 'rxjs';
 
 import { channelTimes } from '../channel/channelTimes';
 import { createPeerListener } from '../channel/createPeerListener';
@@ -14,6 +15,12 @@
 import { createMemberDirectory } from '../directory/createMemberDirectory';
 import type { DirectoryPeers } from '../directory/DirectoryPeers';
 import { memoizeByRevision } from '../directory/memoizeByRevision';
+import { createEvacuationOrders } from '../evacuation/createEvacuationOrders';
+import type { ServingPermission } from '../evacuation/createServingGate';
+import { createServingGate } from '../evacuation/createServingGate';
+import { createStatementSender } from '../evacuation/createStatementSender';
+import { createZoneMembership } from '../evacuation/createZoneMembership';
+import { trackUnknownZones } from '../evacuation/trackUnknownZones';
 import { createEntry } from '../entry/createEntry';
 import { createServiceRetryBudget } from '../entry/createServiceRetryBudget';
 import { createConnectionPools } from '../http/createConnectionPools';
@@ -69,6 +76,12 @@
  */
 const SERVING_WHILE_STOPPING_MILLISECONDS = 1_200;
 
+const servingValues: Readonly<Record<ServingPermission, number>> = {
+  unknown: -1,
+  allowed: 1,
+  evacuated: 0,
+};
+
 function departureOf(
   { id, startedMilliseconds }: UpstreamInstance,
   state: UpstreamView['state'],
@@ -128,11 +141,20 @@
     maximumConnections: upstreamConnections,
   }));
 
+  const evacuations = createEvacuationOrders({
+    clock,
+    logger,
+    keyPrefix: options.evacuationPrefix,
+    retentionMilliseconds: options.orderRetentionMilliseconds,
+  });
+  const statements = createStatementSender(clock, evacuations);
   const policy = createPolicyWatcher({
     clock,
     store,
     logger,
     key: options.policyKey,
+    prefix: options.operatorPrefix,
+    evacuations,
     decode: options.decodePolicy,
     firstConfirmationShare: () => relayShare(),
     onChange: (next) => applyPolicy(next),
@@ -163,6 +185,8 @@
     policyKnowledge: policy.knowledge,
     onPolicyKnowledge: policy.learn,
     peers: { exchange: exchangeWithPeer },
+    evacuationsToSend: statements.toSend,
+    onEvacuations: evacuations.learn,
     hasConnections: () => links.hasOpen() || hasIncoming(),
     onNewerPolicy: policyFetcher.announce,
     onFollowPolicy: policy.setFollowing,
@@ -183,8 +207,12 @@
     const answer = await links.get(address).exchange(fields);
     const message = answer && fromExchangeFields(answer);
     const roundTripMilliseconds = clock.monotonicMilliseconds() - sentMilliseconds;
-    if (message) policy.learn(policyKnowledgeOf(message, roundTripMilliseconds));
-    return answer?.policy;
+    if (!message) return undefined;
+    if (message.evacuations) evacuations.learn(message.evacuations, message.from.host);
+    // A node of an earlier release does not state any orders.
+    if (!evacuations.statement()) policy.refresh();
+    policy.learn(policyKnowledgeOf(message, roundTripMilliseconds));
+    return answer.policy;
   }
 
   const statedLimit = createStatedLimit({
@@ -193,11 +221,17 @@
     setMaximumRunning: admission.setMaximumRunning,
     setRateLimit: admission.setRateLimit,
   });
-  const onUpstreamChange = ({ instance, state }: UpstreamView): void => {
-    statedLimit.startInstance(instance);
-    if (state === 'left') recordUpstreamDeparture(instance);
+  const gate = createServingGate({
+    zone,
+    orders: evacuations,
+    logger,
+    running: () => admission.load().running,
+    onChange: () => republishUpstream(),
+    onOwnZoneRestored: () => options.onOwnZoneRestored?.(),
+  });
+  const publishUpstream = ({ instance, state }: UpstreamView): void => {
     const { coldStartMilliseconds, slots } = instance;
-    const memberState = state === 'lost' ? 'starting' : state;
+    const memberState = gate.memberState(state === 'lost' ? 'starting' : state);
     admission.setCapacity({
       state: memberState,
       slots,
@@ -211,6 +245,11 @@
       departure: departureOf(instance, state),
     });
   };
+  const onUpstreamChange = (view: UpstreamView): void => {
+    statedLimit.startInstance(view.instance);
+    if (view.state === 'left') recordUpstreamDeparture(view.instance);
+    publishUpstream(view);
+  };
   const upstream = createUpstreamRegistry({
     clock,
     logger,
@@ -224,6 +263,11 @@
     },
   });
 
+  function republishUpstream(): void {
+    const view = upstream.current();
+    if (view) publishUpstream(view);
+  }
+
   function restoreDeparture(departure: MemberDeparture): void {
     upstream.restoreDeparture(departure);
   }
@@ -244,10 +288,12 @@
     nodeCount: () => directory.livePeers().length + 1,
   });
 
+  const membership = createZoneMembership(directory, evacuations);
+  const unknownZones = trackUnknownZones({ directory, orders: evacuations, logger });
   const router = createRouter({
     region,
     zone,
-    membership: directory,
+    membership,
     clock,
     random,
     logger,
@@ -265,7 +311,7 @@
       if (current && isSameStart(current.instance, start)) upstream.markLost();
     },
     isTrialNode: (fingerprint) => {
-      const nodes = directory.members(service).filter(({ state }) => state === 'ready');
+      const nodes = membership.members(service).filter(({ state }) => state === 'ready');
       const [first] = rankMembers(`suspect/${fingerprint}` as PartitionId, nodes);
       return first?.host === host;
     },
@@ -294,6 +340,7 @@
     clock,
     admission,
     upstream,
+    gate,
     poolOf,
     protocol,
     running: runningCalls,
@@ -336,13 +383,18 @@
     priorityRanks = createPriorityRanks(next);
     upstreamConnections = next.services.get(service)?.connections ?? upstreamConnections;
     callers.apply(next.requestLimits);
-    directory.announcePolicy();
+    directory.announceOrders();
   }
+  // That a starting node has found no orders is no news.
+  evacuations.changes.pipe(skipWhile(({ size }) => size === 0)).subscribe(directory.announceOrders);
 
   const answerExchange = (fields: ExchangeFields): ExchangeFields => {
     const message = fromExchangeFields(fields);
     const answer = message ? directory.receive(message) : directory.currentMessage();
-    return toExchangeFields(answer, fields.wantsPolicy ? policy.currentBytes() : undefined, false);
+    if (!fields.wantsPolicy) return toExchangeFields(answer, undefined, false);
+    // A node that has got the policy serves, so it needs the orders, also if there are none.
+    const whole = { ...answer, evacuations: evacuations.statement() };
+    return toExchangeFields(whole, policy.currentBytes(), false);
   };
   const peerListener = createPeerListener(
     { clock, logger, self: { host, incarnation }, onReceived: recordContact },
@@ -371,6 +423,21 @@
       'Time since the policy in force was known to be the newest, in milliseconds; -1 if it never was',
       () => (Number.isFinite(policy.ageMilliseconds()) ? policy.ageMilliseconds() : -1),
     );
+    addGauge(
+      'evacuated_zones',
+      'Zones that are evacuated, as far as this node knows',
+      () => evacuations.zones().size,
+    );
+    addGauge(
+      'evacuation_orders_ignored',
+      'Evacuation orders that have no effect: their key is unreadable, or no node belongs to the zone',
+      () => evacuations.unreadableKeys() + unknownZones.count(),
+    );
+    addGauge(
+      'serving_allowed',
+      'Whether calls for the local upstream are accepted: 1, 0 if its zone is evacuated, -1 if that is not known yet',
+      () => servingValues[gate.permission()],
+    );
     addGauge(
       'event_loop_delay',
       'Last measured delay of timers, in milliseconds',
@@ -400,6 +467,10 @@
     peerListener.close();
     directory.close();
     policy.close();
+    evacuations.close();
+    statements.close();
+    gate.close();
+    unknownZones.close();
     upstream.close();
     suspects.close();
     router.close();
--- a/packages/sidecar/src/lib/serving/createCallServer.ts
+++ b/packages/sidecar/src/lib/serving/createCallServer.ts
@@ -10,6 +10,7 @@
 import type { Clock, RefusalReason } from '@buckthornslip/common';
 import type { EventLogger } from '@buckthornslip/telemetry';
 
+import type { ServingGate } from '../evacuation/createServingGate';
 import type { ConnectionPool } from '../http/ConnectionPool';
 import { exchange } from '../http/exchange';
 import type { ExchangeFailure, ExchangeResult } from '../http/ExchangeResult';
@@ -32,6 +33,7 @@
   readonly clock: Clock;
   readonly admission: AdmissionController;
   readonly upstream: UpstreamRegistry;
+  readonly gate: Pick<ServingGate, 'permission' | 'refusal' | 'whenKnown'>;
   readonly statedLimit: StatedLimit;
   /** @returns The connection pool of the upstream at an address. */
   readonly poolOf: (address: string) => ConnectionPool;
@@ -61,6 +63,7 @@
 
 const failureReasons: Readonly<Record<ExchangeFailure, RefusalReason>> = {
   unconnected: 'upstream-failed',
+  withheld: 'zone-evacuated',
   reset: 'upstream-failed',
   truncated: 'upstream-failed',
   foreign: 'upstream-failed',
@@ -69,12 +72,22 @@
 
 const failureEndings: Readonly<Record<ExchangeFailure, CallEnding>> = {
   unconnected: 'unsent',
+  withheld: 'unsent',
   reset: 'lost',
   truncated: 'lost',
   foreign: 'abandoned',
   cancelled: 'abandoned',
 };
 
+/**
+ * Longest time for which a call waits until the node knows whether its zone is evacuated, in milliseconds. At the start of a
+ * fleet, the entry node may get the policy and the orders a little earlier than the serving node.
+ */
+const ORDERS_WAIT_MILLISECONDS = 300;
+
+/** Failures that say nothing about the upstream. */
+const UNTRIED_FAILURES: ReadonlySet<ExchangeFailure> = new Set(['cancelled', 'withheld']);
+
 function isShed(answer: UpstreamResponse | Refusal): boolean {
   return answer.kind === 'refusal' && answer.reason === 'upstream-shed';
 }
@@ -113,7 +126,7 @@
  */
 export function createCallServer(options: CallServerOptions): CallServer {
   const { admission, clock, logger, poolOf, protocol, running, statedLimit, upstream } = options;
-  const { repeats, suspects } = options;
+  const { gate, repeats, suspects } = options;
 
   const refuseByState = (
     call: CallAttempt,
@@ -121,7 +134,7 @@
   ): Refusal | undefined => {
     if (view?.instance.service !== call.service) return refuse('no-upstream');
     if (view.state === 'lost') return refuse('no-upstream');
-    return view.state === 'ready' ? undefined : refuse('upstream-draining');
+    return view.state === 'ready' ? gate.refusal() : refuse('upstream-draining');
   };
 
   const toResponse = (
@@ -190,7 +203,9 @@
     result: ExchangeResult,
     answer: UpstreamResponse | Refusal,
   ): PermitOutcome => {
-    if (result.kind === 'failed') return result.failure === 'cancelled' ? 'cancelled' : 'failed';
+    if (result.kind === 'failed') {
+      return UNTRIED_FAILURES.has(result.failure) ? 'cancelled' : 'failed';
+    }
     if (answer.kind === 'refusal') return answer.reason === 'upstream-shed' ? 'shed' : 'failed';
     return isServerError(answer.status) ? 'failed' : 'completed';
   };
@@ -229,6 +244,7 @@
         head = protocol.readResponse(response.headers);
         return head.requestId === requestId;
       },
+      maySend: () => gate.refusal() === undefined,
       retiresConnection: () => head?.isNotRun === true,
     })
       .catch(release)
@@ -278,6 +294,9 @@
   };
 
   const admit = async (call: CallAttempt): Promise<ServedCall> => {
+    if (gate.permission() === 'unknown') {
+      await Promise.race([gate.whenKnown(), clock.sleep(ORDERS_WAIT_MILLISECONDS)]);
+    }
     const refusal = refuseByState(call, upstream.current()) ?? suspects.check(call);
     if (refusal) return { answer: refusal };
     const request: AdmissionRequest = {
@@ -295,7 +314,9 @@
       const { requestId, rank } = call;
       const { kind: reason } = admitted.error;
       logger.log('admissionRefused', { requestId, rank, reason, ...load });
-      return { answer: refuse(reason) };
+      // To the admission controller, the upstream of an evacuated zone is draining.
+      const closed = reason === 'upstream-draining' ? gate.refusal() : undefined;
+      return { answer: closed ?? refuse(reason) };
     }
     // The state may have changed while the call was queued.
     const view = upstream.current();
--- a/packages/sidecar/src/lib/testing/createDirectoryFleet.ts
+++ b/packages/sidecar/src/lib/testing/createDirectoryFleet.ts
@@ -13,11 +13,15 @@
 import type { MemoryStore } from '@buckthornslip/platform';
 import { createMemoryStore } from '@buckthornslip/platform';
 import { createSilentLogger } from '@buckthornslip/telemetry';
+import { skipWhile } from 'rxjs';
 
 import { channelTimes } from '../channel/channelTimes';
 import { createMemberDirectory } from '../directory/createMemberDirectory';
 import type { DirectoryMessage } from '../directory/DirectoryMessage';
 import type { MemberDirectory } from '../directory/MemberDirectory';
+import { createEvacuationOrders } from '../evacuation/createEvacuationOrders';
+import type { EvacuationOrders } from '../evacuation/EvacuationOrders';
+import { createStatementSender } from '../evacuation/createStatementSender';
 import { createPolicyFetcher } from '../policy/createPolicyFetcher';
 import type { PolicyError } from '../policy/createPolicyWatcher';
 import { createPolicyWatcher } from '../policy/createPolicyWatcher';
@@ -58,6 +62,10 @@
   readonly followers: Set<string>;
   /** Writes a policy to the store, from which the hosts that follow it read it. */
   readonly publish: (revision: number) => Promise<void>;
+  /** Writes or removes an evacuation order. */
+  readonly setEvacuated: (zone: string, isOrdered: boolean) => Promise<void>;
+  /** @returns Zones that are evacuated as far as a host knows, sorted; undefined if it knows no orders. */
+  readonly evacuated: (host: string) => readonly string[] | undefined;
   /** Gives a policy to a single host, as if it had read it from the store. */
   readonly offerPolicy: (host: string, revision: number) => void;
   /** @returns Revision of a host's policy; 0 if it has none. */
@@ -75,8 +83,17 @@
 /** Time within which a policy must be in force, in milliseconds. */
 export const POLICY_APPLY_MILLISECONDS = 2_500;
 
+/** Time for which an order that a restored store lacks stays in force, in milliseconds. */
+const RETENTION_MILLISECONDS = 4_000;
+
+/** Prefix of the operator's keys in the store. */
+const OPERATOR_PREFIX = 'operator/';
+
 /** Store key of the policy. */
-const POLICY_KEY = 'policy';
+const POLICY_KEY = `${OPERATOR_PREFIX}policy`;
+
+/** Prefix of the store keys of evacuation orders. */
+const EVACUATION_PREFIX = `${OPERATOR_PREFIX}evacuate/`;
 
 /** Decodes a policy that consists of its revision only. */
 function decodeTestPolicy(bytes: Uint8Array): Result<CallPolicy, PolicyError> {
@@ -130,6 +147,7 @@
   const turnedAway = createStoreFailures(clock);
   const followers = new Set<string>();
   const policies = new Map<string, PolicyWatcher>();
+  const evacuations = new Map<string, EvacuationOrders>();
   const earlierDepartures = new Map<string, MemberDeparture>();
   const messages: SentMessage[] = [];
   const hasStarted = new Set<string>();
@@ -162,27 +180,43 @@
     followers.delete(host);
     policies.get(host)?.close();
     policies.delete(host);
+    evacuations.get(host)?.close();
+    evacuations.delete(host);
   };
 
   const start: DirectoryFleet['start'] = (host, incarnation, zone = DEFAULT_ZONE) => {
     lastIncarnation += 1;
     const logger = createSilentLogger();
     const hostStore = createHostStore({ clock, store, host, failures: turnedAway });
+    const orders = createEvacuationOrders({
+      clock,
+      logger,
+      keyPrefix: EVACUATION_PREFIX,
+      retentionMilliseconds: RETENTION_MILLISECONDS,
+    });
+    evacuations.set(host, orders);
     const policy = createPolicyWatcher({
       clock,
       store: hostStore,
       key: POLICY_KEY,
+      prefix: OPERATOR_PREFIX,
+      evacuations: orders,
       decode: decodeTestPolicy,
       logger,
       firstConfirmationShare: () => directories.get(host)?.relayShare() ?? 1,
-      onChange: () => directories.get(host)?.announcePolicy(),
+      onChange: () => directories.get(host)?.announceOrders(),
     });
     const fetcher = createPolicyFetcher({
       clock,
       logger,
       currentRevision: () => policyRevision(host),
       request: async (address) => {
-        if (!unreachable.has(hostOf(address))) return policies.get(hostOf(address))?.currentBytes();
+        const other = hostOf(address);
+        if (!unreachable.has(other)) {
+          const statement = evacuations.get(other)?.statement();
+          if (statement) orders.learn(statement, other);
+          return policies.get(other)?.currentBytes();
+        }
         await clock.sleep(channelTimes.exchangeTimeout);
         return undefined;
       },
@@ -201,6 +235,8 @@
       policyApplyMilliseconds: POLICY_APPLY_MILLISECONDS,
       policyKnowledge: policy.knowledge,
       onPolicyKnowledge: policy.learn,
+      evacuationsToSend: createStatementSender(clock, orders).toSend,
+      onEvacuations: orders.learn,
       hasConnections: () => !resetByCut || !unreachable.has(host),
       onNewerPolicy: fetcher.announce,
       onFollowPolicy: (follows) => {
@@ -211,6 +247,7 @@
       onEarlierDeparture: (departure) => earlierDepartures.set(host, departure),
     });
     directories.set(host, directory);
+    orders.changes.pipe(skipWhile(({ size }) => size === 0)).subscribe(directory.announceOrders);
     hasStarted.add(host);
     directory.start();
     return directory;
@@ -236,6 +273,18 @@
       const storeRevision = current.ok ? (current.value?.revision ?? 0) : 0;
       await store.compareAndSwap(POLICY_KEY, storeRevision, Buffer.from(String(revision)));
     },
+    setEvacuated: async (zone, isOrdered) => {
+      const key = `${EVACUATION_PREFIX}${zone}`;
+      const current = await store.get(key);
+      const storeRevision = current.ok ? (current.value?.revision ?? 0) : 0;
+      await (isOrdered
+        ? store.compareAndSwap(key, storeRevision, Buffer.from('1'))
+        : store.remove(key, storeRevision));
+    },
+    evacuated: (host) => {
+      const orders = evacuations.get(host);
+      return orders?.statement() && [...orders.zones()].sort();
+    },
     offerPolicy: (host, revision) =>
       policies.get(host)?.offer(Buffer.from(String(revision)), 'store'),
     policyRevision,
