sidecar: nodes of a zone spread their announcements when an evacuation starts or ends

Cause: all nodes of a zone announced their state at the same moment, and each record goes to every node: at the target size 875 records of about 100 bytes, 87 KB at once where a node may use 25 KB/s. A listing replaces a later statement of another node only in the same era.

--- a/packages/sidecar/src/lib/evacuation/createEvacuationOrders.ts
+++ b/packages/sidecar/src/lib/evacuation/createEvacuationOrders.ts
@@ -138,7 +138,8 @@
       const zones = zonesOf(listing.entries.map(({ key }) => key));
       const next = { era: storeEraOf(listing), revision: listing.revision, zones };
       const isLater = !current || compareStatements(next, current) >= 0;
-      if (isLater || current === before) setStatement(next, 'store');
+      const isWrong = current === before && current?.era === next.era;
+      if (isLater || isWrong) setStatement(next, 'store');
     },
     apply,
     close: retained.close,
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -4,7 +4,7 @@
 import type { CallPolicy } from '@buckthornslip/config';
 import { rankMembers } from '@buckthornslip/leases';
 import { createAccountLedger, createLedgerRateLimiter } from '@buckthornslip/limits';
-import type { Member, MemberDeparture } from '@buckthornslip/membership';
+import type { Member, MemberDeparture, MemberState } from '@buckthornslip/membership';
 import { createRouter } from '@buckthornslip/routing';
 import { skipWhile } from 'rxjs';
 
@@ -15,6 +15,7 @@
 import { createMemberDirectory } from '../directory/createMemberDirectory';
 import type { DirectoryPeers } from '../directory/DirectoryPeers';
 import { memoizeByRevision } from '../directory/memoizeByRevision';
+import { announcementDelay } from '../evacuation/announcementDelay';
 import { createEvacuationOrders } from '../evacuation/createEvacuationOrders';
 import type { ServingPermission } from '../evacuation/createServingGate';
 import { createServingGate } from '../evacuation/createServingGate';
@@ -226,29 +227,34 @@
     orders: evacuations,
     logger,
     running: () => admission.load().running,
-    onChange: () => republishUpstream(),
+    onChange: () => applyPermission(),
     onOwnZoneRestored: () => options.onOwnZoneRestored?.(),
   });
-  const publishUpstream = ({ instance, state }: UpstreamView): void => {
-    const { coldStartMilliseconds, slots } = instance;
-    const memberState = gate.memberState(state === 'lost' ? 'starting' : state);
+  const memberStateOf = ({ state }: UpstreamView): MemberState =>
+    gate.memberState(state === 'lost' ? 'starting' : state);
+  const applyCapacity = (view: UpstreamView): void => {
+    const { coldStartMilliseconds, slots } = view.instance;
     admission.setCapacity({
-      state: memberState,
+      state: memberStateOf(view),
       slots,
       coldStartMilliseconds,
       queueTargetMilliseconds: QUEUE_TARGET_MILLISECONDS,
     });
+  };
+  const announceUpstream = (view: UpstreamView): void => {
+    const { instance, state } = view;
     directory.update({
       service: instance.service,
-      slots,
-      state: isDraining ? 'draining' : memberState,
+      slots: instance.slots,
+      state: isDraining ? 'draining' : memberStateOf(view),
       departure: departureOf(instance, state),
     });
   };
   const onUpstreamChange = (view: UpstreamView): void => {
     statedLimit.startInstance(view.instance);
     if (view.state === 'left') recordUpstreamDeparture(view.instance);
-    publishUpstream(view);
+    applyCapacity(view);
+    announceUpstream(view);
   };
   const upstream = createUpstreamRegistry({
     clock,
@@ -263,9 +269,15 @@
     },
   });
 
-  function republishUpstream(): void {
+  function applyPermission(): void {
     const view = upstream.current();
-    if (view) publishUpstream(view);
+    if (view) applyCapacity(view);
+    const zoneNodes = 1 + directory.livePeers().filter((member) => member.zone === zone).length;
+    clock.setTimer(announcementDelay(random, zoneNodes), () => {
+      const latest = upstream.current();
+      const isAnnounced = latest && directory.self().state === memberStateOf(latest);
+      if (latest && !isAnnounced && !isStopping) announceUpstream(latest);
+    });
   }
 
   function restoreDeparture(departure: MemberDeparture): void {
