--- a/packages/sidecar/src/lib/entry/createEntry.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.ts
@@ -52,6 +52,7 @@
   'caller-gone',
   'region-not-allowed',
   'suspected-crash',
+  'zone-evacuated',
 ]);
 
 function isSuccess(answer: ForwardResult['answer']): boolean {
