admission: a second limit of calls per second, for cold upstreams

Cause: a cold upstream takes at most 1.5 times its warm-up rate plus 8 calls in any second, and crashes well above it. It may state another limit at the same time. Change: setRateLimit takes the source of a limit, and all sources apply, each with its own token bucket.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -12,4 +12,5 @@
 export type { AdmissionRequest } from './lib/controller/AdmissionRequest';
 export type { UpstreamCapacity } from './lib/controller/UpstreamCapacity';
 export type { AdmissionOptions } from './lib/controller/AdmissionOptions';
+export type { RateLimitSource } from './lib/limit/RateLimitSource';
 export { createAdmissionController } from './lib/controller/createAdmissionController';
--- a/packages/admission/src/lib/controller/AdmissionController.ts
+++ b/packages/admission/src/lib/controller/AdmissionController.ts
@@ -1,5 +1,6 @@
 import type { Result } from '@buckthornslip/common';
 
+import type { RateLimitSource } from '../limit/RateLimitSource';
 import type { AdmissionLoad } from './AdmissionLoad';
 import type { AdmissionRefusal } from './AdmissionRefusal';
 import type { AdmissionRequest } from './AdmissionRequest';
@@ -38,11 +39,12 @@
   readonly setCapacity: (capacity: UpstreamCapacity) => void;
 
   /**
-   * Limits the calls that start per second, because the upstream has stated how many it takes.
+   * Limits the calls that start per second. The lowest limit of all sources applies.
    *
    * @param perSecond - Calls per second; undefined for no limit.
+   * @param source - Why they are limited; by default because the upstream has stated how many it takes.
    */
-  readonly setRateLimit: (perSecond: number | undefined) => void;
+  readonly setRateLimit: (perSecond: number | undefined, source?: RateLimitSource) => void;
 
   /**
    * Limits the calls that run at once, in addition to the announced slots.
--- a/packages/admission/src/lib/controller/createAdmissionController.ts
+++ b/packages/admission/src/lib/controller/createAdmissionController.ts
@@ -3,7 +3,7 @@
 
 import { createPriorityCutoff } from '../cutoff/createPriorityCutoff';
 import { createAdaptiveLimit } from '../limit/createAdaptiveLimit';
-import { createStartRate } from '../limit/createStartRate';
+import { createStartRates } from '../limit/createStartRates';
 import { createExpiryTimer } from '../queue/createExpiryTimer';
 import { createPriorityQueue } from '../queue/createPriorityQueue';
 import { createStandingQueueTarget } from '../queue/createStandingQueueTarget';
@@ -61,7 +61,7 @@
   const serviceTimes = new Map<string, ServiceTimeEstimate>();
   const target = createStandingQueueTarget(clock);
   const slots = createSlots();
-  const startRate = createStartRate(clock);
+  const startRate = createStartRates(clock);
   /** Service time of all classes together. */
   const meanServiceTime = createServiceTimeEstimate(clock);
   const queue = createPriorityQueue(() => options.queueCapacity ?? DEFAULT_QUEUE_CAPACITY);
@@ -254,8 +254,8 @@
       if (isLeaving()) queue.clear().forEach((call) => refuse(call, { kind: 'upstream-draining' }));
       startQueuedCalls();
     },
-    setRateLimit: (perSecond) => {
-      startRate.setLimit(perSecond);
+    setRateLimit: (perSecond, source = 'stated') => {
+      startRate.setLimit(source, perSecond);
       startQueuedCalls();
     },
     setMaximumRunning: (calls) => {
--- a/packages/admission/src/lib/limit/createStartRate.ts
+++ b/packages/admission/src/lib/limit/createStartRate.ts
@@ -23,19 +23,21 @@
   readonly start: () => void;
 }
 
+function defaultCapacity(perSecond: number): number {
+  return Math.max(1, perSecond * BURST_SECONDS);
+}
+
 /**
  * Creates a token bucket for the starts of calls.
  *
  * @param clock - Source of time.
+ * @param capacityOf - Returns the unused starts that are kept at a rate.
  * @returns A rate without a limit.
  * @internal
  */
-export function createStartRate(clock: Clock): StartRate {
+export function createStartRate(clock: Clock, capacityOf = defaultCapacity): StartRate {
   let limit = Infinity;
-  const rate = (): TokenRate => ({
-    tokensPerSecond: limit,
-    capacity: Math.max(1, limit * BURST_SECONDS),
-  });
+  const rate = (): TokenRate => ({ tokensPerSecond: limit, capacity: capacityOf(limit) });
   let starts: TokenBucket | undefined;
 
   return {
