sidecar, platform: calls to a cold upstream start at its warm-up rate

Cause: a cold upstream crashes when it gets many more requests per second than warmupPerS. Only the slots were ramped up, and only after a start. The serving node limits the starts while the newest announcement, or the end of an evacuation (startAfterEvacuation), says that the upstream is cold. Event 7107, a counter and a gauge.

--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -31,6 +31,7 @@
 import { createPriorityRanks } from '../policy/createPriorityRanks';
 import { createLedgerLocator } from '../quota/createLedgerLocator';
 import { createLedgerPeers } from '../quota/createLedgerPeers';
+import { createColdLimit } from '../serving/createColdLimit';
 import { createRepeatLimit } from '../serving/createRepeatLimit';
 import { createRunningCalls } from '../serving/createRunningCalls';
 import { createInterruptedCalls } from '../serving/createInterruptedCalls';
@@ -198,6 +199,13 @@
     setMaximumRunning: admission.setMaximumRunning,
     setRateLimit: admission.setRateLimit,
   });
+  const coldLimit = createColdLimit({
+    clock,
+    logger,
+    announcementMilliseconds: options.announcementMilliseconds,
+    setRateLimit: (perSecond) => admission.setRateLimit(perSecond, 'cold'),
+    countLimit: metrics.countColdLimit,
+  });
   const onUpstreamChange = ({ instance, state }: UpstreamView): void => {
     statedLimit.startInstance(instance);
     if (state === 'left') recordUpstreamDeparture(instance);
@@ -220,6 +228,7 @@
     clock,
     logger,
     announcementMilliseconds: options.announcementMilliseconds,
+    onAnnouncement: coldLimit.announce,
     onChange: onUpstreamChange,
     onStart: (instance, previous) => recordUpstreamStart(instance, previous),
     onDeparture: (departure) => {
@@ -348,6 +357,7 @@
     routes = createRouteTable(next, random);
     priorityRanks = createPriorityRanks(next);
     upstreamConnections = next.services.get(service)?.connections ?? upstreamConnections;
+    coldLimit.configure(next.services.get(service));
     callers.apply(next.requestLimits);
     regionCheck.start(next);
     directory.announcePolicy();
@@ -379,6 +389,11 @@
     addGauge('running', 'Calls running at the upstream', () => load().running);
     addGauge('queued', 'Calls waiting for the upstream', () => load().queued);
     addGauge('limit', 'Calls that may run at once', () => load().limit);
+    addGauge(
+      'cold_time_left',
+      'Remaining cold time of the upstream, in milliseconds',
+      coldLimit.leftMilliseconds,
+    );
     addGauge('policy_revision', 'Revision of the policy in force', policyRevision);
     addGauge(
       'policy_age',
@@ -415,6 +430,7 @@
     directory.close();
     policy.close();
     upstream.close();
+    coldLimit.close();
     suspects.close();
     regionCheck.close();
     router.close();
--- a/packages/sidecar/src/lib/process/createSidecarMetrics.ts
+++ b/packages/sidecar/src/lib/process/createSidecarMetrics.ts
@@ -3,6 +3,7 @@
 import { Counter, Gauge, Histogram } from 'prom-client';
 
 import type { PolicyFaultKind } from '../policy/PolicyFault';
+import type { ColdCause } from '../serving/ColdCause';
 
 /** Upper bounds of the latency histogram, in seconds. */
 const LATENCY_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8];
@@ -14,6 +15,8 @@
   readonly countRefusal: (reason: RefusalReason, outcome: Outcome) => void;
   readonly countRetry: (reason: RetryReason) => void;
   readonly countPolicyFault: (kind: PolicyFaultKind) => void;
+  /** Counts the beginning of a limit because the upstream is cold. */
+  readonly countColdLimit: (cause: ColdCause) => void;
   /** @param milliseconds - Time from the arrival of the request to the end of the response. */
   readonly observeCall: (route: string, status: number, milliseconds: number) => void;
   /** Adds a gauge that is read when the metrics are scraped; its name gets the project's prefix. */
@@ -42,10 +45,17 @@
     labelNames: ['kind'],
     registers: [registry],
   });
+  const coldLimits = new Counter({
+    name: 'buckthornslip_cold_limits_total',
+    help: 'Times that calls were limited because the upstream became cold, by how it was noticed',
+    labelNames: ['cause'],
+    registers: [registry],
+  });
   return {
     countRefusal: metrics.countRefusal,
     countRetry: metrics.countRetry,
     countPolicyFault: (kind) => policyFaults.inc({ kind }),
+    countColdLimit: (cause) => coldLimits.inc({ cause }),
     observeCall: (route, status, milliseconds) => {
       const statusClass = `${Math.floor(status / 100)}xx`;
       calls.observe({ route, status: statusClass }, milliseconds / MILLISECONDS_PER_SECOND);
--- /dev/null
+++ b/packages/sidecar/src/lib/serving/ColdCause.ts
@@ -0,0 +1,6 @@
+/**
+ * Why the limit of a cold upstream begins, changes or ends.
+ *
+ * @internal
+ */
+export type ColdCause = 'announcement' | 'configuration' | 'evacuation-ended' | 'elapsed';
--- a/packages/sidecar/src/lib/serving/createUpstreamRegistry.test.ts
+++ b/packages/sidecar/src/lib/serving/createUpstreamRegistry.test.ts
@@ -28,6 +28,7 @@
     clock,
     logger: createSilentLogger(),
     announcementMilliseconds: 1_000,
+    onAnnouncement: () => undefined,
     onChange: ({ state }) => states.push(state),
     onStart: ({ id }, previous) => starts.push(`${previous?.id ?? 'none'} to ${id}`),
     onDeparture: (departure) => departures.push(departure),
--- a/packages/sidecar/src/lib/serving/createUpstreamRegistry.ts
+++ b/packages/sidecar/src/lib/serving/createUpstreamRegistry.ts
@@ -12,6 +12,8 @@
   readonly logger: EventLogger;
   /** Expected interval between announcements, in milliseconds. */
   readonly announcementMilliseconds: number;
+  /** Called with each announcement that is newer than the known state, before it takes effect. */
+  readonly onAnnouncement: (instance: UpstreamInstance) => void;
   /** Called after each change. */
   readonly onChange: (view: UpstreamView) => void;
   /** Called with each new start of the upstream, and with the one that it replaces. */
@@ -53,7 +55,15 @@
  * @public
  */
 export function createUpstreamRegistry(options: UpstreamRegistryOptions): UpstreamRegistry {
-  const { announcementMilliseconds, clock, logger, onChange, onDeparture, onStart } = options;
+  const {
+    announcementMilliseconds,
+    clock,
+    logger,
+    onAnnouncement,
+    onChange,
+    onDeparture,
+    onStart,
+  } = options;
   const departures = new Map<UpstreamId, MemberDeparture>();
   let view: UpstreamView | undefined;
   let stopTimer: (() => void) | undefined;
@@ -123,6 +133,7 @@
       const state = departure ? 'draining' : instance.state;
       if (state === 'draining') rememberDeparture({ ...startOf(instance), state });
       const previous = view?.instance;
+      onAnnouncement(instance);
       setView({ instance, state }, 'announcement');
       if (!previous || !isSameStart(previous, instance)) onStart(instance, previous);
       restartAnnouncementTimer();
--- a/packages/telemetry/src/lib/events/sidecarEvents.ts
+++ b/packages/telemetry/src/lib/events/sidecarEvents.ts
@@ -79,6 +79,11 @@
     level: 'info',
     message: 'upstream stated another limit of calls per second, or none',
   },
+  upstreamColdLimitChanged: {
+    number: 7107,
+    level: 'info',
+    message: 'limit of calls per second of a cold upstream began, changed or ended',
+  },
   announcementRejected: { number: 7101, level: 'warn', message: 'malformed announcement ignored' },
   memberChanged: { number: 7200, level: 'info', message: 'state of another node changed' },
   isolationChanged: {
