sidecar, platform: health responses tell the cold time when heartbeats do not

Cause: heartbeats may be seconds late, and after an evacuation an upstream would count as cold until one that was sent later arrives. Change: if the service has a healthPath and a warm-up rate, the node asks the upstream for its cold time after an evacuation and while the newest heartbeat is more than half a second late. Responses of another upstream or to a request from before the end of the evacuation do not count.

--- a/packages/config/src/lib/policy/PolicyService.ts
+++ b/packages/config/src/lib/policy/PolicyService.ts
@@ -13,4 +13,6 @@
   readonly slowStartMilliseconds: number | undefined;
   /** Requests per second that a cold upstream takes from all hosts together; undefined for no limit. */
   readonly warmUpPerSecond: number | undefined;
+  /** Path of the upstreams' health responses; undefined if they have none. */
+  readonly healthPath: string | undefined;
 }
--- a/packages/sidecar/src/index.ts
+++ b/packages/sidecar/src/index.ts
@@ -6,6 +6,7 @@
  */
 
 export type { ResponseHead } from './lib/protocol/ResponseHead';
+export type { HealthHead } from './lib/protocol/HealthHead';
 export type { CallProtocol } from './lib/protocol/CallProtocol';
 export type { RequestHead } from './lib/protocol/RequestHead';
 export type { UpstreamHeaders } from './lib/protocol/UpstreamHeaders';
--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -82,6 +82,7 @@
         key: typeof key === 'string' ? key : undefined,
         timeoutMilliseconds: timeout === undefined ? undefined : Number(timeout),
       }),
+      readHealth: () => ({ upstream: undefined, coldMilliseconds: undefined }),
       readResponse: () => ({
         requestId: undefined,
         isNotRun: false,
--- a/packages/sidecar/src/lib/policy/PolicyFault.ts
+++ b/packages/sidecar/src/lib/policy/PolicyFault.ts
@@ -1,6 +1,10 @@
 /** What is wrong with a field, or with a name in it. */
 export type PolicyFaultKind =
-  'regions-malformed' | 'region-unknown' | 'slow-start-invalid' | 'warm-up-rate-invalid';
+  | 'regions-malformed'
+  | 'region-unknown'
+  | 'health-path-invalid'
+  | 'slow-start-invalid'
+  | 'warm-up-rate-invalid';
 
 /**
  * A fault of a policy that does not keep the rest of it from being in force.
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -32,6 +32,7 @@
 import { createLedgerLocator } from '../quota/createLedgerLocator';
 import { createLedgerPeers } from '../quota/createLedgerPeers';
 import { createColdLimit } from '../serving/createColdLimit';
+import { createColdProbe } from '../serving/createColdProbe';
 import { createRepeatLimit } from '../serving/createRepeatLimit';
 import { createRunningCalls } from '../serving/createRunningCalls';
 import { createInterruptedCalls } from '../serving/createInterruptedCalls';
@@ -39,6 +40,7 @@
 import { createSuspects } from '../serving/createSuspects';
 import { createCallServer } from '../serving/createCallServer';
 import { createUpstreamRegistry } from '../serving/createUpstreamRegistry';
+import { requestHealth } from '../serving/requestHealth';
 import { isSameStart } from '../serving/isSameStart';
 import type { UpstreamInstance } from '../serving/UpstreamInstance';
 import type { UpstreamView } from '../serving/UpstreamRegistry';
@@ -274,6 +276,18 @@
     settings: sidecarRouterSettings,
   });
   const poolOf = upstreamConnectionPools.get;
+  const coldProbe = createColdProbe({
+    clock,
+    logger,
+    admission,
+    upstream,
+    limit: coldLimit,
+    request: async (instance) => {
+      const path = policy.current()?.services.get(service)?.healthPath;
+      if (path === undefined) return undefined;
+      return requestHealth({ clock, protocol, instance, path, pool: poolOf(instance.address) });
+    },
+  });
   const suspects = createSuspects({
     clock,
     random,
@@ -431,6 +445,7 @@
     policy.close();
     upstream.close();
     coldLimit.close();
+    coldProbe.close();
     suspects.close();
     regionCheck.close();
     router.close();
@@ -464,6 +479,7 @@
       addGauges();
       await Promise.all([peerListener.listen(listeners.peers), callers.listen(listeners.callers)]);
       directory.start();
+      coldProbe.start();
       logger.log('processStarted', { host, incarnation, region, zone, service });
     },
     stop,
--- a/packages/sidecar/src/lib/protocol/CallProtocol.ts
+++ b/packages/sidecar/src/lib/protocol/CallProtocol.ts
@@ -1,3 +1,4 @@
+import type { HealthHead } from './HealthHead';
 import type { ResponseHead } from './ResponseHead';
 import type { RequestHead } from './RequestHead';
 import type { UpstreamHeaders } from './UpstreamHeaders';
@@ -13,6 +14,7 @@
 export interface CallProtocol {
   readonly readRequest: (headers: ParsedHeaders) => RequestHead;
   readonly readResponse: (headers: ParsedHeaders) => ResponseHead;
+  readonly readHealth: (headers: ParsedHeaders) => HealthHead;
   /** @returns Alternating names and values. */
   readonly writeUpstreamHeaders: (headers: UpstreamHeaders) => string[];
   /** Header names in lower case that callers may not set, because the sidecar sets them. */
--- a/packages/sidecar/src/lib/serving/ColdCause.ts
+++ b/packages/sidecar/src/lib/serving/ColdCause.ts
@@ -3,4 +3,5 @@
  *
  * @internal
  */
-export type ColdCause = 'announcement' | 'configuration' | 'evacuation-ended' | 'elapsed';
+export type ColdCause =
+  'announcement' | 'configuration' | 'evacuation-ended' | 'health-response' | 'elapsed';
--- a/packages/sidecar/src/lib/serving/createColdLimit.test.ts
+++ b/packages/sidecar/src/lib/serving/createColdLimit.test.ts
@@ -27,6 +27,7 @@
   connections: 64,
   slowStartMilliseconds: SLOW_START_MILLISECONDS,
   warmUpPerSecond: PER_SECOND,
+  healthPath: undefined,
 };
 
 /** A cold limit at an upstream that takes 100 ms for each call. */
--- a/packages/sidecar/src/lib/serving/createColdLimit.ts
+++ b/packages/sidecar/src/lib/serving/createColdLimit.ts
@@ -14,6 +14,9 @@
  */
 const UNCONFIGURED_PER_SECOND = 4;
 
+/** Delay of an announcement from which it is late, in milliseconds. */
+const LATE_MILLISECONDS = 500;
+
 /** Dependencies of the cold limit. */
 interface ColdLimitOptions {
   readonly clock: Clock;
@@ -33,10 +36,24 @@
   /** Applies the settings of the service; undefined if the policy does not have it. */
   readonly configure: (service: PolicyService | undefined) => void;
   /**
-   * Treats the upstream as cold from now on, because the evacuation of its zone has ended, until an announcement sent later
-   * says otherwise, but not for longer than the service's `slowStartMilliseconds`.
+   * Treats the upstream as cold from now on, because the evacuation of its zone has ended, until an announcement sent later or a
+   * health response says otherwise, but not for longer than the service's `slowStartMilliseconds`.
    */
   readonly startAfterEvacuation: () => void;
+  /**
+   * Applies the cold time of a health response.
+   *
+   * @param instance - The upstream that was asked.
+   * @param coldMilliseconds - Its remaining cold time, in milliseconds.
+   * @param sentMilliseconds - Monotonic time at which the request was sent, in milliseconds.
+   */
+  readonly recordHealth: (
+    instance: UpstreamInstance,
+    coldMilliseconds: number,
+    sentMilliseconds: number,
+  ) => void;
+  /** @returns Whether a health response would tell more, because the cold time is presumed or the announcements are late. */
+  readonly needsHealth: () => boolean;
   /** @returns Remaining cold time, in milliseconds; 0 if the upstream is not cold. */
   readonly leftMilliseconds: () => number;
   readonly close: () => void;
@@ -52,11 +69,14 @@
 export function createColdLimit(options: ColdLimitOptions): ColdLimit {
   const { announcementMilliseconds, clock, countLimit, logger, setRateLimit } = options;
   let coldUntil = -Infinity;
-  /** Announcements that were sent before this time do not end the cold time. */
-  let presumedFrom = -Infinity;
+  /** Announcements and health responses from before this time do not end the cold time. */
+  let outdatedBefore = -Infinity;
+  let isPresumed = false;
+  let informedMilliseconds = -Infinity;
   let known: UpstreamInstance | undefined;
   let sendTimes: SendTimeEstimate = createSendTimeEstimate(announcementMilliseconds);
   let slowStartMilliseconds = 0;
+  let hasHealth = false;
   let perSecond: number | undefined = UNCONFIGURED_PER_SECOND;
   let applied: number | undefined;
   let stopTimer: (() => void) | undefined;
@@ -90,20 +110,39 @@
       const now = clock.monotonicMilliseconds();
       // The arrival is used instead of the estimated time of sending, so that the limit never ends too early.
       const statedUntil = now + instance.coldStartMilliseconds;
-      const isOutdated = sendTimes.record(instance.sequence, now) < presumedFrom;
+      const isOutdated = sendTimes.record(instance.sequence, now) < outdatedBefore;
       coldUntil = isOutdated ? Math.max(coldUntil, statedUntil) : statedUntil;
+      isPresumed &&= isOutdated;
+      informedMilliseconds = now;
       apply('announcement');
     },
     configure: (service) => {
+      hasHealth = service?.healthPath !== undefined;
       slowStartMilliseconds = service?.slowStartMilliseconds ?? 0;
       perSecond = service?.warmUpPerSecond;
       apply('configuration');
     },
     startAfterEvacuation: () => {
-      presumedFrom = clock.monotonicMilliseconds();
-      coldUntil = Math.max(coldUntil, presumedFrom + slowStartMilliseconds);
+      outdatedBefore = clock.monotonicMilliseconds();
+      coldUntil = Math.max(coldUntil, outdatedBefore + slowStartMilliseconds);
+      isPresumed = true;
       apply('evacuation-ended');
     },
+    recordHealth: (instance, coldMilliseconds, sentMilliseconds) => {
+      if (!known || !isSameStart(instance, known) || sentMilliseconds < outdatedBefore) return;
+      const now = clock.monotonicMilliseconds();
+      outdatedBefore = sentMilliseconds;
+      coldUntil = now + coldMilliseconds;
+      isPresumed = false;
+      informedMilliseconds = now;
+      apply('health-response');
+    },
+    needsHealth: () => {
+      if (!known || !hasHealth || perSecond === undefined) return false;
+      const ageMilliseconds = clock.monotonicMilliseconds() - informedMilliseconds;
+      const isLate = ageMilliseconds > announcementMilliseconds + LATE_MILLISECONDS;
+      return isLate || (isPresumed && leftMilliseconds() > 0);
+    },
     leftMilliseconds,
     close: () => stopTimer?.(),
   };
