sidecar: no health request to an upstream that is draining

Cause: a probe would be a request to an upstream that may get none, also while its zone is evacuated. Change: createColdProbe asks mayAsk before and after its wait for a slot; createSidecar answers with the draining state. The time of sending is counted from the first sequence number, since large ones lose precision. The two cold tests share a fixture, and a test that repeated one of createColdLimit.test.ts is gone; the remaining one got its lower bound.

--- a/packages/admission/src/lib/limit/createStartRates.test.ts
+++ b/packages/admission/src/lib/limit/createStartRates.test.ts
@@ -73,34 +73,3 @@
     test.ok(most <= allowedIn(rate) - 1, `${most} at ${rate} per second`);
   }
 });
-
-// Guards against a limit that is kept by starting far fewer calls than allowed, or that outlasts its cause.
-void t.test('the lowest limit applies and is used', async (test) => {
-  const clock = createFakeClock();
-  const rates = createStartRates(clock);
-  const countStarts = async (seconds: number): Promise<number> => {
-    let starts = 0;
-    const end = clock.monotonicMilliseconds() + seconds * 1_000;
-    while (clock.monotonicMilliseconds() < end && starts < 10_000) {
-      const delay = rates.delayMilliseconds();
-      if (delay === 0) {
-        rates.start();
-        starts += 1;
-      } else await clock.advance(delay);
-    }
-    return starts;
-  };
-  rates.setLimit('cold', 30);
-  rates.setLimit('stated', 50);
-  test.equal(rates.perSecond(), 30);
-  const cold = await countStarts(4);
-  test.ok(cold >= 110 && cold <= 122, `${cold} starts in 4 s`);
-  rates.setLimit('stated', 10);
-  test.equal(rates.perSecond(), 10);
-  const both = await countStarts(4);
-  test.ok(both >= 36 && both <= 62, `${both} starts in 4 s`);
-  rates.setLimit('stated', undefined);
-  rates.setLimit('cold', undefined);
-  test.equal(rates.perSecond(), Infinity);
-  test.equal(await countStarts(1), 10_000);
-});
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -282,6 +282,7 @@
     admission,
     upstream,
     limit: coldLimit,
+    mayAsk: () => !isDraining,
     request: async (instance) => {
       const path = policy.current()?.services.get(service)?.healthPath;
       if (path === undefined) return undefined;
--- a/packages/sidecar/src/lib/serving/createColdLimit.test.ts
+++ b/packages/sidecar/src/lib/serving/createColdLimit.test.ts
@@ -1,13 +1,7 @@
 import type { AdmissionRequest } from '@buckthornslip/admission';
-import { createAdmissionController } from '@buckthornslip/admission';
-import type { ServiceId, UpstreamId } from '@buckthornslip/common';
-import { createFakeClock } from '@buckthornslip/common';
-import type { PolicyService } from '@buckthornslip/config';
-import { createSilentLogger } from '@buckthornslip/telemetry';
 import t from 'tap';
 
-import { createColdLimit } from './createColdLimit';
-import type { UpstreamInstance } from './UpstreamInstance';
+import { coldService, createColdFixture } from '../testing/createColdFixture';
 
 const INTERVAL_MILLISECONDS = 1_500;
 const SLOW_START_MILLISECONDS = 5_000;
@@ -22,44 +16,10 @@
   isolated: false,
 };
 
-const service: PolicyService = {
-  id: 'a' as ServiceId,
-  connections: 64,
-  slowStartMilliseconds: SLOW_START_MILLISECONDS,
-  warmUpPerSecond: PER_SECOND,
-  healthPath: undefined,
-};
-
 /** A cold limit at an upstream that takes 100 ms for each call. */
-function createFixture(configured: PolicyService | 'unknown' = service) {
-  const clock = createFakeClock();
-  const admission = createAdmissionController({ clock, adaptsToLatency: false });
-  const causes: string[] = [];
-  const limit = createColdLimit({
-    clock,
-    logger: createSilentLogger(),
-    announcementMilliseconds: INTERVAL_MILLISECONDS,
-    setRateLimit: (perSecond) => admission.setRateLimit(perSecond, 'cold'),
-    countLimit: (cause) => causes.push(cause),
-  });
-  if (configured !== 'unknown') limit.configure(configured);
-  const announce = (sequence: number, coldStartMilliseconds: number, startedMilliseconds = 0) =>
-    limit.announce({
-      id: 'i-1' as UpstreamId,
-      startedMilliseconds,
-      sequence,
-      service: service.id,
-      address: '127.0.0.1:1',
-      slots: SLOTS,
-      state: 'ready',
-      coldStartMilliseconds,
-    } satisfies UpstreamInstance);
-  admission.setCapacity({
-    state: 'ready',
-    slots: SLOTS,
-    coldStartMilliseconds: 0,
-    queueTargetMilliseconds: 400,
-  });
+function createFixture(...service: Parameters<typeof createColdFixture>) {
+  const fixture = createColdFixture(...service);
+  const { admission, clock } = fixture;
   const starts: number[] = [];
   const refusals: string[] = [];
   const send = async (): Promise<void> => {
@@ -84,7 +44,7 @@
     );
     return { most: Math.max(0, ...inSecond), all: starts.length };
   };
-  return { admission, announce, causes, clock, limit, play, refusals, send, starts };
+  return { ...fixture, play, refusals, send, starts };
 }
 
 const ALLOWED = 1.5 * PER_SECOND + 8;
@@ -163,7 +123,7 @@
   admission.setRateLimit(5);
   announce(1, 60_000);
   const both = await play(4_000);
-  test.ok(both.all <= 4 * 5 + 5, `${both.all} in 4 s`);
+  test.ok(both.all >= 18 && both.all <= 4 * 5 + 5, `${both.all} in 4 s`);
   admission.setRateLimit(undefined);
   await play(1_000);
   const cold = await play(4_000);
@@ -187,11 +147,11 @@
 
 // Guards against a restarted node that overloads a cold upstream before it has a policy, and against a limit that nobody asked for.
 void t.test('the settings of the service apply as soon as they are known', async (test) => {
-  const unconfigured = createFixture({ ...service, warmUpPerSecond: undefined });
+  const unconfigured = createFixture({ ...coldService, warmUpPerSecond: undefined });
   unconfigured.announce(1, 60_000);
   test.ok((await unconfigured.play(1_000)).most > 150, 'without a rate there is no limit');
   test.same(unconfigured.causes, []);
-  unconfigured.limit.configure(service);
+  unconfigured.limit.configure(coldService);
   await unconfigured.play(1_000);
   test.ok((await unconfigured.play(1_000)).most < ALLOWED);
   test.same(unconfigured.causes, ['configuration']);
--- a/packages/sidecar/src/lib/serving/createColdProbe.ts
+++ b/packages/sidecar/src/lib/serving/createColdProbe.ts
@@ -26,6 +26,8 @@
   readonly admission: Pick<AdmissionController, 'admit'>;
   readonly upstream: Pick<UpstreamRegistry, 'current'>;
   readonly limit: Pick<ColdLimit, 'needsHealth' | 'recordHealth'>;
+  /** @returns Whether a request may be sent to the upstream at all. */
+  readonly mayAsk: () => boolean;
   /** @returns Remaining cold time of the upstream, in milliseconds; undefined if it is not known. */
   readonly request: (instance: UpstreamInstance) => Promise<number | undefined>;
 }
@@ -44,17 +46,23 @@
  * @internal
  */
 export function createColdProbe(options: ColdProbeOptions): ColdProbe {
-  const { admission, clock, limit, logger, request, upstream } = options;
+  const { admission, clock, limit, logger, mayAsk, request, upstream } = options;
   let stopTimer: (() => void) | undefined;
   let isClosed = false;
 
+  const instanceToAsk = (): UpstreamInstance | undefined => {
+    const view = upstream.current();
+    return view?.state === 'ready' && mayAsk() && limit.needsHealth() ? view.instance : undefined;
+  };
+
   const probe = async (): Promise<void> => {
-    if (upstream.current()?.state !== 'ready' || !limit.needsHealth()) return;
+    if (!instanceToAsk()) return;
     const admitted = await admission.admit(PROBE_REQUEST);
     if (!admitted.ok) return;
     try {
-      const instance = upstream.current()?.instance;
-      if (!instance || !limit.needsHealth()) return;
+      // The state may have changed while the probe was queued.
+      const instance = instanceToAsk();
+      if (!instance) return;
       const sentMilliseconds = clock.monotonicMilliseconds();
       const coldMilliseconds = await request(instance);
       if (coldMilliseconds !== undefined)
--- a/packages/sidecar/src/lib/serving/createSendTimeEstimate.ts
+++ b/packages/sidecar/src/lib/serving/createSendTimeEstimate.ts
@@ -24,9 +24,11 @@
 export function createSendTimeEstimate(intervalMilliseconds: number): SendTimeEstimate {
   /** Arrival of each announcement, minus the time that its sequence number accounts for. */
   const offsets: number[] = [];
+  let first: number | undefined;
   return {
     record: (sequence, arrivedMilliseconds) => {
-      const sinceFirst = sequence * intervalMilliseconds;
+      first ??= sequence;
+      const sinceFirst = (sequence - first) * intervalMilliseconds;
       offsets.push(arrivedMilliseconds - sinceFirst);
       if (offsets.length > REMEMBERED) offsets.shift();
       return Math.min(...offsets) + sinceFirst;
