--- a/packages/sidecar/src/lib/process/SidecarOptions.ts
+++ b/packages/sidecar/src/lib/process/SidecarOptions.ts
@@ -52,8 +52,6 @@
   /** Time within which a policy that the store has accepted must be in force, in milliseconds. */
   readonly policyApplyMilliseconds: number;
   readonly decodePolicy: (bytes: Uint8Array) => Result<DecodedPolicy, PolicyError>;
-  /** Called when an evacuation of this node's zone has ended, before its upstream gets calls again. */
-  readonly onOwnZoneRestored?: () => void;
   readonly protocol: CallProtocol;
   readonly store: Store;
   readonly clock: Clock;
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -39,6 +39,8 @@
 import { createPriorityRanks } from '../policy/createPriorityRanks';
 import { createLedgerLocator } from '../quota/createLedgerLocator';
 import { createLedgerPeers } from '../quota/createLedgerPeers';
+import { createColdLimit } from '../serving/createColdLimit';
+import { createColdProbe } from '../serving/createColdProbe';
 import { createRepeatLimit } from '../serving/createRepeatLimit';
 import { createRunningCalls } from '../serving/createRunningCalls';
 import { createInterruptedCalls } from '../serving/createInterruptedCalls';
@@ -46,6 +48,7 @@
 import { createSuspects } from '../serving/createSuspects';
 import { createCallServer } from '../serving/createCallServer';
 import { createUpstreamRegistry } from '../serving/createUpstreamRegistry';
+import { requestHealth } from '../serving/requestHealth';
 import { isSameStart } from '../serving/isSameStart';
 import type { UpstreamInstance } from '../serving/UpstreamInstance';
 import type { UpstreamView } from '../serving/UpstreamRegistry';
@@ -227,13 +230,20 @@
     setMaximumRunning: admission.setMaximumRunning,
     setRateLimit: admission.setRateLimit,
   });
+  const coldLimit = createColdLimit({
+    clock,
+    logger,
+    announcementMilliseconds: options.announcementMilliseconds,
+    setRateLimit: (perSecond) => admission.setRateLimit(perSecond, 'cold'),
+    countLimit: metrics.countColdLimit,
+  });
   const gate = createServingGate({
     zone,
     orders: evacuations,
     logger,
     running: () => admission.load().running,
     onChange: () => applyPermission(),
-    onOwnZoneRestored: () => options.onOwnZoneRestored?.(),
+    onOwnZoneRestored: coldLimit.startAfterEvacuation,
   });
   const memberStateOf = ({ state }: UpstreamView): MemberState =>
     gate.memberState(state === 'lost' ? 'starting' : state);
@@ -265,6 +275,7 @@
     clock,
     logger,
     announcementMilliseconds: options.announcementMilliseconds,
+    onAnnouncement: coldLimit.announce,
     onChange: onUpstreamChange,
     onStart: (instance, previous) => recordUpstreamStart(instance, previous),
     onDeparture: (departure) => {
@@ -323,6 +334,19 @@
     settings: sidecarRouterSettings,
   });
   const poolOf = upstreamConnectionPools.get;
+  const coldProbe = createColdProbe({
+    clock,
+    logger,
+    admission,
+    upstream,
+    limit: coldLimit,
+    mayAsk: () => !isDraining && gate.refusal() === undefined,
+    request: async (instance) => {
+      const path = policy.current()?.services.get(service)?.healthPath;
+      if (path === undefined) return undefined;
+      return requestHealth({ clock, protocol, instance, path, pool: poolOf(instance.address) });
+    },
+  });
   const suspects = createSuspects({
     clock,
     random,
@@ -407,6 +431,7 @@
     routes = createRouteTable(next, random);
     priorityRanks = createPriorityRanks(next);
     upstreamConnections = next.services.get(service)?.connections ?? upstreamConnections;
+    coldLimit.configure(next.services.get(service));
     callers.apply(next.requestLimits);
     regionCheck.start(next);
     directory.announceOrders();
@@ -443,6 +468,11 @@
     addGauge('running', 'Calls running at the upstream', () => load().running);
     addGauge('queued', 'Calls waiting for the upstream', () => load().queued);
     addGauge('limit', 'Calls that may run at once', () => load().limit);
+    addGauge(
+      'cold_time_left',
+      'Remaining cold time of the upstream, in milliseconds',
+      coldLimit.leftMilliseconds,
+    );
     addGauge('policy_revision', 'Revision of the policy in force', policyRevision);
     addGauge(
       'policy_age',
@@ -498,6 +528,8 @@
     gate.close();
     unknownZones.close();
     upstream.close();
+    coldLimit.close();
+    coldProbe.close();
     suspects.close();
     regionCheck.close();
     router.close();
@@ -531,6 +563,7 @@
       addGauges();
       await Promise.all([peerListener.listen(listeners.peers), callers.listen(listeners.callers)]);
       directory.start();
+      coldProbe.start();
       logger.log('processStarted', { host, incarnation, region, zone, service });
     },
     stop,
