--- a/packages/sidecar/src/lib/serving/evacuatedQueue.test.ts
+++ b/packages/sidecar/src/lib/serving/evacuatedQueue.test.ts
@@ -69,6 +69,7 @@
     protocol: {
       readRequest: () => ({}) as never,
       readResponse: () => ({ requestId: 'call', isNotRun: false, isSigned: true }) as never,
+      readHealth: () => ({}) as never,
       writeUpstreamHeaders: () => [],
       reservedNames: new Set(),
     },
