platform: revisions and leases count within one era of the store

Cause: a watch resumed from a revision that the restored store had assigned to another write, so there was no 410 and what was written to the restored store was missed. A watch and a listing that see another era start again. A write or a renewal whose condition is of another era is not sent and fails as a conflict or as lease-not-found. Store.watch, compareAndSwap, remove, keepAlive and revokeLease take the era as an option.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -8,6 +8,7 @@
 export { createMemoryStore } from './lib/memory/createMemoryStore';
 export { createStoreFaults } from './lib/memory/createStoreFaults';
 export type { MemoryStore } from './lib/memory/MemoryStore';
+export type { StoreBackup } from './lib/memory/StoreBackup';
 export type { StoreCallCounts } from './lib/memory/StoreCallCounts';
 export type { StoreFaults } from './lib/memory/StoreFaults';
 export { createStoreServer } from './lib/server/createStoreServer';
--- a/packages/platform/src/lib/client/createStoreClient.ts
+++ b/packages/platform/src/lib/client/createStoreClient.ts
@@ -73,6 +73,7 @@
     return success({
       id: result.value.ID as StoreLeaseId,
       timeToLiveMilliseconds: result.value.TTL * MILLISECONDS_PER_SECOND,
+      era: NO_STORE_ERA,
     });
   };
 
--- a/packages/platform/src/lib/memory/MemoryStore.ts
+++ b/packages/platform/src/lib/memory/MemoryStore.ts
@@ -1,4 +1,5 @@
 import type { Store } from '../store/Store';
+import type { StoreBackup } from './StoreBackup';
 import type { StoreCallCounts } from './StoreCallCounts';
 import type { StoreFaults } from './StoreFaults';
 
@@ -13,4 +14,9 @@
 
   /** Drops the history up to and including a revision, so that watches from an earlier revision are relisted. */
   readonly compact: (revision: number) => void;
+
+  readonly backUp: () => StoreBackup;
+
+  /** Replaces the contents by those of a backup, and raises the era. Watches are interrupted, and relisted afterwards. */
+  readonly restore: (backup: StoreBackup) => void;
 }
--- a/packages/platform/src/lib/memory/StoreEngine.ts
+++ b/packages/platform/src/lib/memory/StoreEngine.ts
@@ -1,6 +1,8 @@
+import type { StoreEra } from '../store/StoreEra';
 import type { EngineChange } from './EngineChange';
 import type { EngineEntry } from './EngineEntry';
 import type { EngineMutation } from './EngineMutation';
+import type { StoreBackup } from './StoreBackup';
 
 /**
  * In-memory storage engine of the test stores: keys, revisions, leases and watches, without faults or delays.
@@ -10,6 +12,14 @@
 export interface StoreEngine {
   readonly revision: () => number;
 
+  /** @returns Number of restores so far. */
+  readonly era: () => StoreEra;
+
+  readonly backUp: () => StoreBackup;
+
+  /** Replaces the state by an earlier one; its leases last for their whole time again. */
+  readonly restore: (backup: StoreBackup) => void;
+
   /** @returns Entries from `key` to `rangeEnd` (exclusive), or only the entry of `key` if `rangeEnd` is undefined. */
   readonly range: (key: string, rangeEnd?: string) => readonly EngineEntry[];
 
@@ -33,6 +43,8 @@
     listener: (changes: readonly EngineChange[]) => void,
   ) => (() => void) | undefined;
 
+  /** @returns The next lease id, in order: a restored store assigns the same ids again, as it does with revisions. */
+  readonly nextLeaseId: () => number;
   readonly hasLease: (leaseId: number) => boolean;
   readonly grantLease: (leaseId: number, timeToLiveMilliseconds: number) => void;
 
--- a/packages/platform/src/lib/memory/createEngineLeases.ts
+++ b/packages/platform/src/lib/memory/createEngineLeases.ts
@@ -18,7 +18,12 @@
 export function createEngineLeases(
   clock: Clock,
   onEnd: (leaseId: number) => void,
-): Pick<StoreEngine, 'hasLease' | 'grantLease' | 'keepAlive' | 'revokeLease'> {
+): Pick<StoreEngine, 'hasLease' | 'grantLease' | 'keepAlive' | 'revokeLease'> & {
+  /** @returns Time to live of each lease in milliseconds, by lease id. */
+  readonly termsOfLeases: () => ReadonlyMap<number, number>;
+  /** Replaces all leases without ending them. */
+  readonly replaceLeases: (terms: ReadonlyMap<number, number>) => void;
+} {
   const leases = new Map<number, EngineLease>();
 
   const end = (leaseId: number): boolean => {
@@ -42,5 +47,17 @@
     return lease?.timeToLiveMilliseconds;
   };
 
-  return { hasLease: (leaseId) => leases.has(leaseId), grantLease, keepAlive, revokeLease: end };
+  return {
+    hasLease: (leaseId) => leases.has(leaseId),
+    grantLease,
+    keepAlive,
+    revokeLease: end,
+    termsOfLeases: () =>
+      new Map([...leases].map(([id, { timeToLiveMilliseconds }]) => [id, timeToLiveMilliseconds])),
+    replaceLeases: (terms) => {
+      leases.forEach(({ cancelTimer }) => cancelTimer());
+      leases.clear();
+      terms.forEach((timeToLiveMilliseconds, id) => grantLease(id, timeToLiveMilliseconds));
+    },
+  };
 }
--- a/packages/platform/src/lib/memory/createMemoryStore.ts
+++ b/packages/platform/src/lib/memory/createMemoryStore.ts
@@ -1,13 +1,10 @@
-import { randomInt } from 'node:crypto';
-
 import { failure, success, type Clock, type Result } from '@buckthornslip/common';
 import { Subject, takeUntil } from 'rxjs';
 
 import { checkValueSize } from '../store/checkValueSize';
-import { MAXIMUM_LEASE_ID } from '../store/MAXIMUM_LEASE_ID';
-import { NO_STORE_ERA } from '../store/NO_STORE_ERA';
 import { prefixRangeEnd } from '../store/prefixRangeEnd';
 import type { Store } from '../store/Store';
+import type { StoreEra } from '../store/StoreEra';
 import type { StoreError } from '../store/StoreError';
 import type { StoreLeaseId } from '../store/StoreLeaseId';
 import type { StoreRevision } from '../store/StoreRevision';
@@ -24,11 +21,17 @@
 /** Default timeout of an operation, in milliseconds. */
 const DEFAULT_TIMEOUT_MILLISECONDS = 1_000;
 
+function isOfOtherEra(engine: StoreEngine, era: StoreEra | undefined): boolean {
+  return era !== undefined && era !== engine.era();
+}
+
 function mutateIfUnchanged(
   engine: StoreEngine,
   expectedRevision: number,
   mutation: EngineMutation,
+  era: StoreEra | undefined,
 ): Result<StoreRevision, StoreError> {
+  if (isOfOtherEra(engine, era)) return failure({ kind: 'conflict', current: undefined });
   const current = engine.range(mutation.key)[0];
   if ((current?.revision ?? 0) !== expectedRevision) return failure({ kind: 'conflict', current });
   const leaseId = mutation.kind === 'put' ? mutation.leaseId : 0;
@@ -64,41 +67,45 @@
     return runWithFaults({ clock, faults, timeoutMilliseconds, isWrite, effect });
   };
 
-  const compareAndSwap: Store['compareAndSwap'] = async (
-    key,
-    expected,
-    value,
-    leaseId = 0 as StoreLeaseId,
-  ) => {
+  const compareAndSwap: Store['compareAndSwap'] = async (key, expected, value, leaseId, era) => {
     const tooLarge = checkValueSize(value);
     if (tooLarge) return failure(tooLarge);
     return run('compareAndSwap', () =>
-      mutateIfUnchanged(engine, expected, { kind: 'put', key, value, leaseId }),
+      mutateIfUnchanged(engine, expected, { kind: 'put', key, value, leaseId: leaseId ?? 0 }, era),
     );
   };
 
   const grantLease: Store['grantLease'] = (timeToLiveMilliseconds) =>
     run('lease', () => {
-      const id = randomInt(1, MAXIMUM_LEASE_ID) as StoreLeaseId;
+      const id = engine.nextLeaseId() as StoreLeaseId;
       engine.grantLease(id, timeToLiveMilliseconds);
-      return success({ id, timeToLiveMilliseconds });
+      return success({ id, timeToLiveMilliseconds, era: engine.era() });
     });
 
-  const keepAlive: Store['keepAlive'] = (leaseId) =>
+  const keepAlive: Store['keepAlive'] = (leaseId, era) =>
     run('lease', () => {
-      const remaining = engine.keepAlive(leaseId);
+      const remaining = isOfOtherEra(engine, era) ? undefined : engine.keepAlive(leaseId);
       return remaining === undefined ? failure({ kind: 'lease-not-found' }) : success(remaining);
     });
 
-  const revokeLease: Store['revokeLease'] = (leaseId) =>
+  const revokeLease: Store['revokeLease'] = (leaseId, era) =>
     run('lease', () =>
-      engine.revokeLease(leaseId) ? success(undefined) : failure({ kind: 'lease-not-found' }),
+      !isOfOtherEra(engine, era) && engine.revokeLease(leaseId)
+        ? success(undefined)
+        : failure({ kind: 'lease-not-found' }),
     );
 
   return {
     faults,
     calls,
     compact: engine.compact,
+    backUp: engine.backUp,
+    restore: (backup) => {
+      const wasDown = faults.isDown();
+      faults.setDown(true);
+      engine.restore(backup);
+      faults.setDown(wasDown);
+    },
     get: (key) => run('get', () => success(engine.range(key)[0])),
     list: (prefix) =>
       run('list', () => {
@@ -106,20 +113,22 @@
         return success({
           entries,
           revision: engine.revision() as StoreRevision,
-          era: NO_STORE_ERA,
+          era: engine.era(),
         });
       }),
     compareAndSwap,
-    remove: (key, expected) =>
-      run('remove', () => mutateIfUnchanged(engine, expected, { kind: 'remove', key })),
-    watch: (prefix, fromRevision) => {
+    remove: (key, expected, era) =>
+      run('remove', () => mutateIfUnchanged(engine, expected, { kind: 'remove', key }, era)),
+    watch: (prefix, fromRevision, { fromEra } = {}) => {
       calls.watch += 1;
-      return createMemoryWatch(engine, faults, prefix, fromRevision).pipe(takeUntil(closed));
+      return createMemoryWatch(engine, faults, prefix, fromRevision, fromEra).pipe(
+        takeUntil(closed),
+      );
     },
     grantLease,
     keepAlive,
     revokeLease,
-    era: () => NO_STORE_ERA,
+    era: engine.era,
     close: () => closed.next(),
   };
 }
--- a/packages/platform/src/lib/memory/createMemoryWatch.ts
+++ b/packages/platform/src/lib/memory/createMemoryWatch.ts
@@ -1,17 +1,17 @@
 import { Observable, of, switchMap } from 'rxjs';
 
-import { NO_STORE_ERA } from '../store/NO_STORE_ERA';
 import { prefixRangeEnd } from '../store/prefixRangeEnd';
+import type { StoreEra } from '../store/StoreEra';
 import type { StoreEvent } from '../store/StoreEvent';
 import type { StoreRevision } from '../store/StoreRevision';
 import type { EngineChange } from './EngineChange';
 import type { StoreEngine } from './StoreEngine';
 import type { StoreFaults } from './StoreFaults';
 
-const toEvent = ({ key, revision, entry }: EngineChange): StoreEvent =>
+const toEvent = ({ key, revision, entry }: EngineChange, era: StoreEra): StoreEvent =>
   entry
-    ? { kind: 'put', entry, era: entry.era }
-    : { kind: 'removed', key, revision: revision as StoreRevision, era: NO_STORE_ERA };
+    ? { kind: 'put', entry, era }
+    : { kind: 'removed', key, revision: revision as StoreRevision, era };
 
 /**
  * Watches a prefix in a storage engine; the watch is disconnected while the store is down.
@@ -23,21 +23,24 @@
   faults: StoreFaults,
   prefix: string,
   fromRevision: number,
+  fromEra: StoreEra = engine.era(),
 ): Observable<StoreEvent> {
   const rangeEnd = prefixRangeEnd(prefix);
   return new Observable<StoreEvent>((subscriber) => {
+    let knownEra = fromEra;
     let nextRevision = fromRevision > 0 ? fromRevision : engine.revision() + 1;
     const connected = new Observable<StoreEvent>((inner) => {
       const present = (): StoreRevision => engine.revision() as StoreRevision;
-      inner.next({ kind: 'connected', revision: present(), era: NO_STORE_ERA });
-      if (nextRevision <= engine.compactedRevision()) {
+      inner.next({ kind: 'connected', revision: present(), era: engine.era() });
+      if (knownEra !== engine.era() || nextRevision <= engine.compactedRevision()) {
+        knownEra = engine.era();
         const entries = engine.range(prefix, rangeEnd);
         nextRevision = engine.revision() + 1;
-        inner.next({ kind: 'relisted', entries, revision: present(), era: NO_STORE_ERA });
+        inner.next({ kind: 'relisted', entries, revision: present(), era: engine.era() });
       }
       return engine.watch(prefix, rangeEnd, nextRevision, (changes) => {
         nextRevision = Math.max(...changes.map((change) => change.revision)) + 1;
-        changes.map(toEvent).forEach((event) => inner.next(event));
+        changes.forEach((change) => inner.next(toEvent(change, engine.era())));
       });
     });
     return faults.downChanges
--- a/packages/platform/src/lib/memory/createStoreEngine.ts
+++ b/packages/platform/src/lib/memory/createStoreEngine.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@buckthornslip/common';
 
 import { NO_STORE_ERA } from '../store/NO_STORE_ERA';
+import type { StoreEra } from '../store/StoreEra';
 import type { StoreRevision } from '../store/StoreRevision';
 import { createEngineLeases } from './createEngineLeases';
 import type { EngineChange } from './EngineChange';
@@ -17,13 +18,14 @@
 function putEntry(
   mutation: EngineMutation & { readonly kind: 'put' },
   revision: number,
+  era: StoreEra,
   previous: EngineEntry | undefined,
 ): EngineEntry {
   return {
     key: mutation.key,
     value: mutation.value,
     revision: revision as StoreRevision,
-    era: NO_STORE_ERA,
+    era,
     createRevision: previous?.createRevision ?? revision,
     version: (previous?.version ?? 0) + 1,
     leaseId: mutation.leaseId,
@@ -39,10 +41,12 @@
  */
 export function createStoreEngine(clock: Clock): StoreEngine {
   const entries = new Map<string, EngineEntry>();
-  const history: EngineChange[] = [];
+  let history: EngineChange[] = [];
   const listeners = new Set<(changes: readonly EngineChange[]) => void>();
   let revision = 1;
   let compactedRevision = 0;
+  let era = NO_STORE_ERA;
+  let lastLeaseId = 0;
 
   const compact = (upTo: number): void => {
     compactedRevision = Math.max(compactedRevision, Math.min(upTo, revision));
@@ -52,7 +56,7 @@
   const applyOne = (mutation: EngineMutation): EngineChange => {
     const { key } = mutation;
     const entry =
-      mutation.kind === 'put' ? putEntry(mutation, revision, entries.get(key)) : undefined;
+      mutation.kind === 'put' ? putEntry(mutation, revision, era, entries.get(key)) : undefined;
     if (entry) entries.set(key, entry);
     else entries.delete(key);
     return { key, revision, entry };
@@ -92,13 +96,43 @@
     };
   };
 
+  const leases = createEngineLeases(clock, removeKeysOf);
+
+  const restore: StoreEngine['restore'] = (backup) => {
+    era = (era + 1) as StoreEra;
+    revision = backup.revision;
+    lastLeaseId = backup.lastLeaseId;
+    entries.clear();
+    backup.entries.forEach((entry) => entries.set(entry.key, { ...entry, era }));
+    history = history
+      .filter((change) => change.revision <= revision)
+      .map((change) => ({ ...change, entry: change.entry && { ...change.entry, era } }));
+    compactedRevision = Math.min(compactedRevision, revision);
+    leases.replaceLeases(backup.leases);
+  };
+
   return {
     revision: () => revision,
+    era: () => era,
+    backUp: () => ({
+      entries: [...entries.values()],
+      revision,
+      lastLeaseId,
+      leases: leases.termsOfLeases(),
+    }),
+    restore,
     range,
     apply,
     compact,
     compactedRevision: () => compactedRevision,
     watch,
-    ...createEngineLeases(clock, removeKeysOf),
+    nextLeaseId: () => {
+      lastLeaseId += 1;
+      return lastLeaseId;
+    },
+    hasLease: leases.hasLease,
+    grantLease: leases.grantLease,
+    keepAlive: leases.keepAlive,
+    revokeLease: leases.revokeLease,
   };
 }
--- a/packages/platform/src/lib/store/Store.ts
+++ b/packages/platform/src/lib/store/Store.ts
@@ -38,6 +38,8 @@
    * @param expectedRevision - Revision of the entry that was read; 0 if the key must be absent.
    * @param value - At most {@link MAXIMUM_VALUE_BYTES}.
    * @param leaseId - Store lease with which the key is removed when the lease ends.
+   * @param era - Era of the expected revision and of the lease; by default, that of the store at present. In another one the
+   *   write fails as a conflict.
    * @returns The revision of the new entry.
    */
   readonly compareAndSwap: (
@@ -45,16 +47,21 @@
     expectedRevision: number,
     value: Uint8Array,
     leaseId?: StoreLeaseId,
+    era?: StoreEra,
   ) => Promise<Result<StoreRevision, StoreError>>;
 
   /**
    * Removes a key if it is at the expected revision.
    *
+   * @param key - The key.
+   * @param expectedRevision - Revision of the entry that was read.
+   * @param era - Era of the expected revision, as for a write.
    * @returns The revision of the removal.
    */
   readonly remove: (
     key: string,
     expectedRevision: number,
+    era?: StoreEra,
   ) => Promise<Result<StoreRevision, StoreError>>;
 
   /**
@@ -74,11 +81,26 @@
   /** @param timeToLiveMilliseconds - Rounded up to whole seconds with the etcd protocol. */
   readonly grantLease: (timeToLiveMilliseconds: number) => Promise<Result<StoreLease, StoreError>>;
 
-  /** @returns The renewed time to live of the lease, in milliseconds. */
-  readonly keepAlive: (leaseId: StoreLeaseId) => Promise<Result<number, StoreError>>;
+  /**
+   * @param leaseId - The lease.
+   * @param era - Era of the lease. In another one the lease is not found.
+   * @returns The renewed time to live of the lease, in milliseconds.
+   */
+  readonly keepAlive: (
+    leaseId: StoreLeaseId,
+    era?: StoreEra,
+  ) => Promise<Result<number, StoreError>>;
 
-  /** Ends a lease and removes its keys. */
-  readonly revokeLease: (leaseId: StoreLeaseId) => Promise<Result<void, StoreError>>;
+  /**
+   * Ends a lease and removes its keys.
+   *
+   * @param leaseId - The lease.
+   * @param era - Era of the lease. In another one the lease is not found.
+   */
+  readonly revokeLease: (
+    leaseId: StoreLeaseId,
+    era?: StoreEra,
+  ) => Promise<Result<void, StoreError>>;
 
   /** @returns The highest era of the store that it has stated to this client; 0 if it has stated none. */
   readonly era: () => StoreEra;
--- a/packages/platform/src/lib/store/StoreError.ts
+++ b/packages/platform/src/lib/store/StoreError.ts
@@ -9,7 +9,10 @@
 export type StoreError =
   | { readonly kind: 'unavailable' }
   | { readonly kind: 'timeout' }
-  /** The key was not at the expected revision; `current` is its entry, undefined if the key is absent. */
+  /**
+   * The key was not at the expected revision, or the revision is of another era. `current` is the entry of the key, undefined if
+   * the key is absent or was not read.
+   */
   | { readonly kind: 'conflict'; readonly current: StoreEntry | undefined }
   | { readonly kind: 'value-too-large'; readonly bytes: number; readonly limitBytes: number }
   | { readonly kind: 'lease-not-found' }
--- a/packages/platform/src/lib/store/StoreLease.ts
+++ b/packages/platform/src/lib/store/StoreLease.ts
@@ -1,3 +1,4 @@
+import type { StoreEra } from './StoreEra';
 import type { StoreLeaseId } from './StoreLeaseId';
 
 /**
@@ -8,4 +9,6 @@
 export interface StoreLease {
   readonly id: StoreLeaseId;
   readonly timeToLiveMilliseconds: number;
+  /** Era in which it was granted; in another one the id may name a different lease. */
+  readonly era: StoreEra;
 }
