sidecar: an older policy in a restored store does not confirm the newer one

Cause: any answer of the store counted as confirmation that the policy in force is the newest. A restored store may have an older one, so a node that had missed a newer policy looked up to date. Change: the policy watcher knows which policy the store has, and in which era it was last seen. An older one, or none after a restore, confirms nothing, so the age of the policy in force goes on growing; neither does an answer of a new era before the entries are listed again, nor a restored store while another node has stated a newer policy. The hosts' store of the fleet tests checks eras like the client of the users' store, and its polls state the store's present revision.

--- a/packages/sidecar/src/lib/policy/createPolicyWatcher.test.ts
+++ b/packages/sidecar/src/lib/policy/createPolicyWatcher.test.ts
@@ -73,3 +73,27 @@
   clock.stepWallClock(-5_000);
   test.equal(watcher.ageMilliseconds(), 200);
 });
+
+// Guards against a restored store that makes a lost policy look as if it had never existed.
+void t.test('a restored store does not confirm an older policy than a known one', async (test) => {
+  const { clock, store, watcher } = createWatcher();
+  const backup = store.backUp();
+  await store.compareAndSwap(KEY, 0, Buffer.of(3));
+  watcher.setFollowing(true);
+  await clock.advance(10);
+  test.equal(watcher.ageMilliseconds(), 10);
+  store.restore(backup);
+  await clock.advance(10);
+  test.equal(watcher.ageMilliseconds(), 20, 'the store has no policy any more');
+  watcher.learn({ revision: 4, ageMilliseconds: 0 });
+  store.restore(backup);
+  await store.compareAndSwap(KEY, 0, Buffer.of(3));
+  await clock.advance(10);
+  test.equal(watcher.ageMilliseconds(), Infinity, 'the newest one is missing');
+  const current = await store.get(KEY);
+  await store.compareAndSwap(KEY, (current.ok && current.value?.revision) || 0, Buffer.of(5));
+  watcher.setFollowing(true);
+  await clock.advance(0);
+  test.same(watcher.knowledge(), { revision: 5, ageMilliseconds: 0 });
+  watcher.close();
+});
--- a/packages/sidecar/src/lib/policy/createPolicyWatcher.ts
+++ b/packages/sidecar/src/lib/policy/createPolicyWatcher.ts
@@ -1,6 +1,7 @@
 import type { Clock, Result } from '@buckthornslip/common';
 import type { CallPolicy } from '@buckthornslip/config';
-import type { Store, StoreEntry, StoreError, StoreEvent } from '@buckthornslip/platform';
+import type { Store, StoreEntry, StoreEra, StoreError, StoreEvent } from '@buckthornslip/platform';
+import { NO_STORE_ERA } from '@buckthornslip/platform';
 import type { EventLogger } from '@buckthornslip/telemetry';
 import type { Subscription } from 'rxjs';
 
@@ -75,46 +76,71 @@
   /** Number of the current run of the watch; an earlier run ends itself. */
   let run = 0;
   /** The newest revision that is known, and the last time at which it was known to be the newest in the store. */
-  let newest = { revision: 0, confirmed: NEVER };
+  let newest = { revision: 0, confirmed: NEVER, era: store.era() };
+  /** Whether the store was last seen with an older policy than the current one, or without any after a restore. */
+  let isOlderInStore = false;
+  /** Era in which the store was last seen with a policy or without one. */
+  let seenEra: StoreEra | undefined;
 
   const currentRevision = (): number => policy?.revision ?? 0;
 
-  const apply = (bytes: Uint8Array, source: string): void => {
+  /** @returns Revision of the given policy; undefined if it is invalid. */
+  const apply = (bytes: Uint8Array, source: string): number | undefined => {
     const decoded = decode(bytes);
     if (!decoded.ok) {
       logger.log('policyRejected', { source, error: decoded.error.message });
-      return;
+      return undefined;
     }
     const next = decoded.value;
     const previous = policy?.revision;
-    if (previous !== undefined && next.revision <= previous) return;
+    if (previous !== undefined && next.revision <= previous) return next.revision;
     policy = next;
     policyBytes = bytes;
     if (next.revision > newest.revision) {
-      newest = { revision: next.revision, confirmed: NEVER };
+      newest = { revision: next.revision, confirmed: NEVER, era: store.era() };
     }
     logger.log('policyInForce', { source, revision: next.revision, previous });
     onChange(next);
     resolveAvailable();
+    return next.revision;
+  };
+
+  /** A restored store may have an older policy, which must not confirm the current one as the newest. */
+  const setStored = (revision: number, era: StoreEra): void => {
+    seenEra = era;
+    const isOlder = revision < currentRevision();
+    if (isOlder && !isOlderInStore) {
+      logger.log('policyOlderInStore', { revision, current: currentRevision(), era });
+    }
+    isOlderInStore = isOlder;
   };
 
   const applyEntry = (entry: StoreEntry): void => {
-    if (entry.key === key) apply(entry.value, 'store');
+    if (entry.key !== key) return;
+    const revision = apply(entry.value, 'store');
+    setStored(revision ?? currentRevision(), entry.era);
+  };
+
+  /** A store that was never restored has lost nothing: without the policy, it has been removed, and stays in force. */
+  const applyAbsence = (era: StoreEra): void => {
+    setStored(era === NO_STORE_ERA ? currentRevision() : 0, era);
   };
 
   const ageMilliseconds = (): number =>
     newest.revision === currentRevision() ? elapsedSince(clock, newest.confirmed) : Infinity;
 
-  /** The store has just said that it has no other policy than the current one. */
+  /** The store has just said which policy it has. It confirms the current one unless it has lost it, or a newer one, in a restore. */
   const confirm = (): void => {
-    newest = { revision: currentRevision(), confirmed: instantOf(clock, 0) };
+    const hasLostNewer = newest.revision > currentRevision() && newest.era < store.era();
+    if (isOlderInStore || hasLostNewer) return;
+    newest = { revision: currentRevision(), confirmed: instantOf(clock, 0), era: store.era() };
   };
 
   const learn = ({ ageMilliseconds: learnedAge, revision }: PolicyKnowledge): void => {
     if (revision < newest.revision) return;
     const isOlder =
       revision === newest.revision && elapsedSince(clock, newest.confirmed) <= learnedAge;
-    if (!isOlder) newest = { revision, confirmed: instantOf(clock, learnedAge) };
+    if (!isOlder) newest = { revision, confirmed: instantOf(clock, learnedAge), era: store.era() };
   };
 
   let isReachable = true;
@@ -131,14 +157,16 @@
     readonly [Kind in StoreEvent['kind']]: (event: StoreEvent & { readonly kind: Kind }) => void;
   } = {
     put: ({ entry }) => applyEntry(entry),
-    relisted: ({ entries }) => {
+    relisted: ({ entries, era }) => {
       entries.forEach(applyEntry);
+      if (!entries.some((entry) => entry.key === key)) applyAbsence(era);
       confirm();
     },
     removed: () => undefined,
-    connected: () => {
+    connected: ({ era }) => {
       setReachable(true);
-      confirm();
+      // In a new era, the listing that follows says which policy the store has.
+      if (era === seenEra) confirm();
     },
     disconnected: () => setReachable(false),
   };
@@ -147,17 +175,21 @@
     const result = await store.get(key);
     if (isClosed || !result.ok) return result;
     if (result.value) applyEntry(result.value);
+    else applyAbsence(store.era());
     confirm();
     return result;
   };
 
   const readAndWatch = async (isCurrent: () => boolean): Promise<void> => {
     while (isCurrent()) {
+      // If the store is restored meanwhile, the watch begins with all current entries.
+      const eraBefore = store.era();
       const result = await read();
       if (!isCurrent()) return;
       if (result.ok) {
         const revision = result.value?.revision ?? 0;
-        const watch = store.watch(key, revision + 1, { firstConfirmationShare });
+        const fromEra = result.value?.era ?? eraBefore;
+        const watch = store.watch(key, revision + 1, { firstConfirmationShare, fromEra });
         subscription = watch.subscribe((event) => {
           handlers[event.kind](event as never);
         });
@@ -174,7 +206,9 @@
     currentBytes: () => policyBytes,
     ageMilliseconds,
     learn,
-    offer: apply,
+    offer: (bytes, source) => {
+      apply(bytes, source);
+    },
     refresh: () => {
       if (!isFollowing) void read();
     },
--- a/packages/sidecar/src/lib/testing/createHostStore.ts
+++ b/packages/sidecar/src/lib/testing/createHostStore.ts
@@ -1,6 +1,14 @@
 import type { Clock, Result } from '@buckthornslip/common';
 import { failure } from '@buckthornslip/common';
-import type { Store, StoreError, StoreEvent, StoreRevision } from '@buckthornslip/platform';
+import type {
+  MemoryStore,
+  Store,
+  StoreEra,
+  StoreError,
+  StoreEvent,
+  StoreRevision,
+} from '@buckthornslip/platform';
+import { NO_STORE_ERA } from '@buckthornslip/platform';
 import { Observable } from 'rxjs';
 
 import type { StoreFailure, StoreFailures } from './createStoreFailures';
@@ -8,11 +16,21 @@
 /** Dependencies of a host's store. */
 interface HostStoreOptions {
   readonly clock: Clock;
-  readonly store: Store;
+  readonly store: MemoryStore;
   readonly host: string;
   readonly failures: StoreFailures;
 }
 
+/** Answer to a poll: changes, and the position of the store. */
+interface PollAnswer {
+  readonly events: readonly StoreEvent[];
+  readonly era: StoreEra;
+  readonly revision: number;
+}
+
+/** Failures of a call that the store has not answered. */
+const UNANSWERED: ReadonlySet<StoreError['kind']> = new Set(['unavailable', 'timeout']);
+
 /** Time after which a call without an answer fails, in milliseconds. */
 const CALL_TIMEOUT_MILLISECONDS = 1_000;
 
@@ -34,6 +52,8 @@
  */
 export function createHostStore(options: HostStoreOptions): Store {
   const { clock, failures, host, store } = options;
+  /** Highest era that the store has stated to this host. */
+  let seenEra = NO_STORE_ERA;
 
   const answers: Readonly<Record<StoreFailure, () => Promise<Result<never, StoreError>>>> = {
     refused: () => Promise.resolve(failure({ kind: 'unavailable' })),
@@ -43,11 +63,26 @@
     },
   };
 
-  const run = <Value>(
+  const run = async <Value>(
     call: () => Promise<Result<Value, StoreError>>,
   ): Promise<Result<Value, StoreError>> => {
     const kind = failures.get(host);
-    return kind === undefined ? call() : answers[kind]();
+    if (kind !== undefined) return answers[kind]();
+    const result = await call();
+    const isAnswered = result.ok || !UNANSWERED.has(result.error.kind);
+    if (isAnswered) seenEra = store.era();
+    return result;
+  };
+
+  /** Runs a call that depends on what the host knows of an era. Like a real store, the memory store does not check the era. */
+  const runInEra = async <Value>(
+    refusal: StoreError,
+    call: () => Promise<Result<Value, StoreError>>,
+    era: StoreEra = seenEra,
+  ): Promise<Result<Value, StoreError>> => {
+    if (era !== seenEra) return failure(refusal);
+    const result = await run(call);
+    return result.ok && era !== seenEra ? failure({ kind: 'unavailable' }) : result;
   };
 
   /** @returns The first changes after a revision, none if there are none in time, or undefined if the answer is lost. */
@@ -55,47 +90,59 @@
     prefix: string,
     after: number,
     waitMilliseconds: number,
-  ): Promise<readonly StoreEvent[] | undefined> =>
+  ): Promise<PollAnswer | undefined> =>
     new Promise((resolve) => {
       const found: StoreEvent[] = [];
       const startedMilliseconds = clock.monotonicMilliseconds();
       const isLost = (): boolean => failures.hasFailedSince(host, startedMilliseconds);
+      const answer = (): void =>
+        resolve({ events: found, era: store.era(), revision: store.backUp().revision });
       const changes = store.watch(prefix, after + 1).subscribe((event) => {
         const isChange = event.kind === 'put' || event.kind === 'removed';
         if (isChange && !isLost()) found.push(event);
-        if (found.length > 0) resolve(found);
+        if (found.length > 0) answer();
       });
       clock.setTimer(waitMilliseconds, () => {
         changes.unsubscribe();
-        if (!isLost()) resolve(found);
+        if (!isLost()) answer();
       });
       clock.setTimer(waitMilliseconds + POLL_MARGIN_MILLISECONDS, () => resolve(undefined));
     });
 
-  const revisionOf = (event: StoreEvent): number => {
-    if (event.kind === 'put') return event.entry.revision;
-    return event.kind === 'removed' ? event.revision : 0;
-  };
-
   const watch: Store['watch'] = (prefix, fromRevision, watchOptions) =>
     new Observable<StoreEvent>((subscriber) => {
       let known = fromRevision - 1;
+      let knownEra = watchOptions?.fromEra ?? seenEra;
       let isFirst = true;
+      const relist = async (): Promise<void> => {
+        const listing = await run(() => store.list(prefix));
+        if (subscriber.closed || !listing.ok) return;
+        known = listing.value.revision;
+        knownEra = listing.value.era;
+        subscriber.next({ kind: 'connected', revision: listing.value.revision, era: knownEra });
+        subscriber.next({ kind: 'relisted', ...listing.value });
+      };
       const next = async (): Promise<void> => {
         const isRefused = failures.get(host) === 'refused';
         const share = isFirst ? (watchOptions?.firstConfirmationShare?.() ?? 1) : 1;
         const wait = share * POLL_MILLISECONDS;
-        const events = isRefused ? undefined : await poll(prefix, known, wait);
-        isFirst = events?.length !== 0;
+        const answer = isRefused ? undefined : await poll(prefix, known, wait);
+        isFirst = answer?.events.length !== 0;
         if (subscriber.closed) return;
-        if (!events) {
+        if (!answer) {
           subscriber.next({ kind: 'disconnected' });
           if (isRefused) await clock.sleep(RETRY_MILLISECONDS);
           return;
         }
-        events.forEach((event) => subscriber.next(event));
-        known = Math.max(known, ...events.map(revisionOf));
-        subscriber.next({ kind: 'connected', revision: known as StoreRevision, era: store.era() });
+        seenEra = answer.era;
+        if (answer.era !== knownEra) {
+          await relist();
+          return;
+        }
+        answer.events.forEach((event) => subscriber.next(event));
+        known = answer.revision;
+        const revision = known as StoreRevision;
+        subscriber.next({ kind: 'connected', revision, era: answer.era });
       };
       const watchUntilClosed = async (): Promise<void> => {
         while (!subscriber.closed) await next();
@@ -103,16 +150,19 @@
       void watchUntilClosed();
     });
 
+  const conflict: StoreError = { kind: 'conflict', current: undefined };
+  const leaseNotFound: StoreError = { kind: 'lease-not-found' };
   return {
     get: (key) => run(() => store.get(key)),
     list: (prefix, listOptions) => run(() => store.list(prefix, listOptions)),
-    compareAndSwap: (...input) => run(() => store.compareAndSwap(...input)),
-    remove: (...input) => run(() => store.remove(...input)),
+    compareAndSwap: (key, expected, value, leaseId, era) =>
+      runInEra(conflict, () => store.compareAndSwap(key, expected, value, leaseId), era),
+    remove: (key, expected, era) => runInEra(conflict, () => store.remove(key, expected), era),
     watch,
     grantLease: (milliseconds) => run(() => store.grantLease(milliseconds)),
-    keepAlive: (leaseId) => run(() => store.keepAlive(leaseId)),
-    revokeLease: (leaseId) => run(() => store.revokeLease(leaseId)),
-    era: store.era,
+    keepAlive: (leaseId, era) => runInEra(leaseNotFound, () => store.keepAlive(leaseId), era),
+    revokeLease: (leaseId, era) => runInEra(leaseNotFound, () => store.revokeLease(leaseId), era),
+    era: () => seenEra,
     close: () => undefined,
   };
 }
--- a/packages/telemetry/src/lib/events/sidecarEvents.ts
+++ b/packages/telemetry/src/lib/events/sidecarEvents.ts
@@ -144,6 +144,23 @@
     level: 'info',
     message: 'record of this node is kept in the store again',
   },
+  storeRestored: {
+    number: 7320,
+    level: 'warn',
+    message: 'the store was restored from a backup; this node writes its record again',
+    action: 'Check that the configuration in the store is the latest one.',
+  },
+  recordRewritten: {
+    number: 7321,
+    level: 'info',
+    message: 'record of this node was written to the restored store',
+  },
+  policyOlderInStore: {
+    number: 7322,
+    level: 'warn',
+    message: 'the store has an older policy than the one in force, or none; the one in force stays',
+    action: 'Write the latest configuration to the store again.',
+  },
   linkLost: { number: 7205, level: 'info', message: 'connection to another node was lost' },
   linkSilent: {
     number: 7206,
