sidecar: nodes write their records again after a restore of the store

Cause: a restored store has lost records and leases, or has old ones. A node noticed that at its next renewal at the earliest, the id of its lease could name another node's, and relays removed live nodes of other zones that had no record in the store. Change: directory messages carry the highest era that the store has stated to the sender. createRestoreMonitor reports each new era once, whoever states it first; a wrong era of another node has one effect and does not hide a later restore. Reads wait for a minimum revision only within its era. Until the records are written again and the leases of the backup have ended, no node is removed for lack of a record, and a record in the store does not bring back a node that was removed. Gauge store_era, counter store_restores_total.

--- a/packages/sidecar/src/lib/directory/DirectoryMessage.ts
+++ b/packages/sidecar/src/lib/directory/DirectoryMessage.ts
@@ -1,4 +1,5 @@
 import type { Member } from '@buckthornslip/membership';
+import type { StoreEra } from '@buckthornslip/platform';
 
 /**
  * Message between two nodes: either an anti-entropy exchange, in which they compare their member tables, or an update that
@@ -18,4 +19,6 @@
   /** Changed records in an update. In the answer to an exchange, all records if the digests differ. */
   readonly members: readonly Member[];
   readonly isUpdate: boolean;
+  /** Highest era that the store has stated to the sender; 0 if it has stated none. */
+  readonly storeEra: StoreEra;
 }
--- a/packages/sidecar/src/lib/directory/createMemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/createMemberDirectory.ts
@@ -1,6 +1,6 @@
 import type { Clock, HostId, Incarnation, RandomSource } from '@buckthornslip/common';
 import type { Member, MemberDeparture } from '@buckthornslip/membership';
-import type { Store, StoreRevision } from '@buckthornslip/platform';
+import type { Store, StoreEra } from '@buckthornslip/platform';
 import type { EventLogger } from '@buckthornslip/telemetry';
 import { first, firstValueFrom, merge } from 'rxjs';
 
@@ -16,6 +16,7 @@
 import { createRecordReader, recordKey } from './createRecordReader';
 import { createRelayDuty } from './createRelayDuty';
 import { createRemovedMembers } from './createRemovedMembers';
+import { createRestoreMonitor } from './createRestoreMonitor';
 import { createZoneRelays } from './createZoneRelays';
 import type { DirectoryMessage } from './DirectoryMessage';
 import type { DirectoryPeers } from './DirectoryPeers';
@@ -24,6 +25,8 @@
 import type { MemberDirectory } from './MemberDirectory';
 import { encodeRecord } from './memberRecord';
 import { memoizeByRevision } from './memoizeByRevision';
+import { rewriteSpread } from './rewriteSpread';
+import type { StorePosition } from './StorePosition';
 import { waitForUsableMembers } from './waitForUsableMembers';
 
 /** Dependencies and settings of the directory. */
@@ -51,6 +54,8 @@
   readonly onFollowPolicy: (follows: boolean) => void;
   /** Called when another node still has a record of an earlier process of this node with a departed upstream. */
   readonly onEarlierDeparture: (departure: MemberDeparture) => void;
+  /** Called when this node notices that the store was restored from a backup. */
+  readonly onStoreRestored: () => void;
 }
 
 /** Consecutive failed exchanges after which a node is considered dead. A single one may be lost with its connection. */
@@ -146,6 +151,7 @@
     policyAgeMilliseconds: policyKnowledge().ageMilliseconds,
     members,
     isUpdate,
+    storeEra: store.era(),
   });
 
   const silenceMilliseconds = (): number => clock.monotonicMilliseconds() - lastContactMilliseconds;
@@ -172,6 +178,23 @@
     () => table.all().filter(({ state }) => state !== 'left').length,
   );
 
+  const restores = createRestoreMonitor({
+    clock,
+    logger,
+    onRestored: (era) => {
+      options.onStoreRestored();
+      rewriteRecord(era);
+    },
+  });
+
+  /**
+   * @returns Whether the store may still lack records of live nodes, or have records of nodes that left before it was restored.
+   *   The latter end with their leases.
+   */
+  const isStoreSettling = (): boolean =>
+    restores.sinceMilliseconds() <
+    rewriteSpread(nodeCount()) + directoryTimes.renewalInterval + directoryTimes.leaseTerm;
+
   const rateShare = (): number => {
     const nodes = nodeCount();
     const sinceRejoining = clock.monotonicMilliseconds() - rejoinedMilliseconds;
@@ -239,7 +262,9 @@
       return;
     }
     const isFirstHand = source === 'itself';
-    if (!isFirstHand && source !== 'store' && removed.includes(member)) return;
+    // A record in the store has a lease, so that its node is there after all, unless the record is of a backup.
+    const isProof = isFirstHand || (source === 'store' && !isStoreSettling());
+    if (!isProof && removed.includes(member)) return;
     const known = table.get(member.host);
     if (!table.merge(member)) return;
     removed.forget(member.host);
@@ -281,6 +306,7 @@
   const applyMessage = (received: DirectoryMessage): void => {
     applyRecord(received.from, 'itself', isRelay());
     markSeen(received.from);
+    restores.hear(received.storeEra, received.from.host);
     const passesOn = received.members.length > 0 && isRelay();
     received.members.forEach((member) => applyRecord(member, received.from.host, passesOn));
     if (received.policyRevision > policyRevision()) {
@@ -356,6 +382,7 @@
 
   /** Removes nodes that a complete list does not contain and that have been silent for a long time. */
   const removeAbsent = (hosts: ReadonlySet<HostId>, cause: string): void => {
+    if (isStoreSettling()) return;
     const removeBefore = clock.monotonicMilliseconds() - directoryTimes.removalTimeout;
     others()
       .filter(({ host }) => !hosts.has(host) && (lastSeen.get(host) ?? 0) < removeBefore)
@@ -373,14 +400,14 @@
     members.forEach((member) => applyRecord(member, 'store', passesOn));
   };
 
-  const readZone = async (minimumRevision: StoreRevision): Promise<void> => {
-    const listing = await records.read(self.zone, minimumRevision);
+  const readZone = async (minimum: StorePosition): Promise<void> => {
+    const listing = await records.read(self.zone, minimum);
     if (listing && !isClosed) applyListing(listing);
   };
 
   /** @returns Whether the records could be read. */
   const readAllZones = async (): Promise<boolean> => {
-    const listing = await records.read(undefined, 0);
+    const listing = await records.read(undefined);
     if (!listing || isClosed) return false;
     applyListing(listing);
     removeAbsent(listing.hosts, 'no record in the store');
@@ -408,14 +435,20 @@
     logger,
     key: recordKey(self),
     value: () => encodeRecord(self),
-    onWritten: (revision) => {
+    rewriteDelayMilliseconds: () => random.next() * rewriteSpread(nodeCount()),
+    onWritten: (position) => {
+      restores.begin(position.era);
       // Other nodes may have removed this one after its earlier record expired; only a newer record restores it.
       if (wasRegistered) void changeSelf({});
       wasRegistered = true;
-      void readZone(revision).then(learnOtherZones);
+      void readZone(position).then(learnOtherZones);
     },
   });
 
+  function rewriteRecord(era: StoreEra): void {
+    registration.rewrite(era);
+  }
+
   const partnersOf = createExchangePartners(random, {
     isRelay,
     isInZone,
@@ -434,6 +467,7 @@
     while (!isClosed) {
       await clock.sleep(directoryTimes.exchangeInterval * (0.75 + random.next() / 2));
       rounds += 1;
+      restores.observe(store.era());
       partnersOf(rounds).forEach(({ host }) => {
         void probe(host);
       });
--- a/packages/sidecar/src/lib/directory/createRecordReader.ts
+++ b/packages/sidecar/src/lib/directory/createRecordReader.ts
@@ -5,6 +5,7 @@
 
 import { directoryTimes } from './directoryTimes';
 import { decodeRecord } from './memberRecord';
+import type { StorePosition } from './StorePosition';
 
 const RECORD_PREFIX = 'buckthornslip/nodes/';
 
@@ -26,12 +27,13 @@
 export interface RecordReader {
   /**
    * @param zone - Zone whose records are read; undefined for all zones.
-   * @param minimumRevision - Oldest acceptable revision of the store.
+   * @param minimum - Oldest acceptable position of the store; undefined accepts any. A later era than that of the position is
+   *   acceptable at any revision.
    * @returns The records, or undefined if they can't be read.
    */
   readonly read: (
     zone: ZoneId | undefined,
-    minimumRevision: number,
+    minimum?: StorePosition,
   ) => Promise<RecordListing | undefined>;
 }
 
@@ -51,6 +53,11 @@
   return `${RECORD_PREFIX}${zone}/${host}`;
 }
 
+function isRecent({ era, revision }: StorePosition, minimum: StorePosition | undefined): boolean {
+  if (minimum === undefined || era > minimum.era) return true;
+  return era === minimum.era && revision >= minimum.revision;
+}
+
 /**
  * Creates the reader. It accepts stale reads, which are cheaper, and repeats a read that is older than required.
  *
@@ -61,14 +68,14 @@
 export function createRecordReader(options: RecordReaderOptions): RecordReader {
   const { clock, logger, store } = options;
   return {
-    read: async (zone, minimumRevision) => {
+    read: async (zone, minimum) => {
       const prefix = zone === undefined ? RECORD_PREFIX : `${RECORD_PREFIX}${zone}/`;
       for (let reads = 1; ; reads += 1) {
         const mayBeStale = reads < MAXIMUM_READS;
         const listing = await store.list(prefix, { mayBeStale });
         if (!listing.ok) return undefined;
         const { entries, revision } = listing.value;
-        if (revision >= minimumRevision || !mayBeStale) {
+        if (!mayBeStale || isRecent(listing.value, minimum)) {
           const members = entries.flatMap((entry) => {
             const member = decodeRecord(entry.value);
             if (member) return [member];
--- a/packages/sidecar/src/lib/peers/exchangeCodec.test.ts
+++ b/packages/sidecar/src/lib/peers/exchangeCodec.test.ts
@@ -1,11 +1,16 @@
 import type { HostId, Incarnation, RegionId, ZoneId } from '@buckthornslip/common';
+import type { StoreEra } from '@buckthornslip/platform';
+import { NO_STORE_ERA } from '@buckthornslip/platform';
 import { channelMessages } from '@buckthornslip/wire';
 import t from 'tap';
 
 import type { DirectoryMessage } from '../directory/DirectoryMessage';
 import { fromExchangeFields, toExchangeFields } from './exchangeCodec';
 
-const messageWithAge = (policyAgeMilliseconds: number): DirectoryMessage => ({
+const createMessage = (
+  policyAgeMilliseconds: number,
+  storeEra = NO_STORE_ERA,
+): DirectoryMessage => ({
   from: {
     host: 'host' as HostId,
     incarnation: 1 as Incarnation,
@@ -25,17 +30,27 @@
   policyAgeMilliseconds,
   members: [],
   isUpdate: true,
+  storeEra,
 });
 
-const ageAfterTransfer = (policyAgeMilliseconds: number): number | undefined => {
-  const fields = toExchangeFields(messageWithAge(policyAgeMilliseconds), undefined, false);
+const transfer = (message: DirectoryMessage): DirectoryMessage | undefined => {
+  const fields = toExchangeFields(message, undefined, false);
   const bytes = channelMessages.Exchange.encode({ ...fields, sequence: 1 }).finish();
-  return fromExchangeFields(channelMessages.Exchange.decode(bytes))?.policyAgeMilliseconds;
+  return fromExchangeFields(channelMessages.Exchange.decode(bytes));
 };
 
+const ageAfterTransfer = (policyAgeMilliseconds: number): number | undefined =>
+  transfer(createMessage(policyAgeMilliseconds))?.policyAgeMilliseconds;
+
 // Guards against a policy that looks newer to another node than the sender knows it to be.
 void t.test('the age of a policy is never understated', async (test) => {
   test.equal(ageAfterTransfer(0), 0);
   test.equal(ageAfterTransfer(1_250.2), 1_251);
   test.equal(ageAfterTransfer(Infinity), Infinity);
 });
+
+// Guards against a restore of the store that a node does not tell to others, and against a malformed era.
+void t.test('the era of the store is sent along', async (test) => {
+  test.equal(transfer(createMessage(0, 3 as StoreEra))?.storeEra, 3);
+  test.equal(transfer(createMessage(0, -1 as StoreEra))?.storeEra, 0);
+});
--- a/packages/sidecar/src/lib/peers/exchangeCodec.ts
+++ b/packages/sidecar/src/lib/peers/exchangeCodec.ts
@@ -1,7 +1,10 @@
 import type { Member } from '@buckthornslip/membership';
+import type { StoreEra } from '@buckthornslip/platform';
+import { NO_STORE_ERA } from '@buckthornslip/platform';
 
 import type { ExchangeFields } from '../channel/PeerLink';
 import type { DirectoryMessage } from '../directory/DirectoryMessage';
+import { isCount } from '../directory/isCount';
 import { fromMemberMessage, toMemberMessage } from '../directory/memberMessages';
 
 const NO_BYTES = Buffer.alloc(0);
@@ -14,6 +17,9 @@
 
 const fromWireAge = (milliseconds: number): number => (milliseconds < 0 ? Infinity : milliseconds);
 
+const fromWireEra = (era: number): StoreEra =>
+  isCount(era, Number.MAX_SAFE_INTEGER) ? (era as StoreEra) : NO_STORE_ERA;
+
 /**
  * @param message - A directory message.
  * @param policy - Encoded policy, if the receiver has requested it.
@@ -36,7 +42,7 @@
     policy: policy ? Buffer.from(policy) : NO_BYTES,
     update: message.isUpdate,
     evacuations: undefined,
-    storeEra: 0,
+    storeEra: message.storeEra,
   };
 }
 
@@ -54,6 +60,7 @@
     policyRevision: fields.policyRevision,
     policyAgeMilliseconds: fromWireAge(fields.policyAgeMilliseconds),
     isUpdate: fields.update,
+    storeEra: fromWireEra(fields.storeEra),
     members: fields.members
       .map(fromMemberMessage)
       .filter((member): member is Member => member !== undefined),
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -167,6 +167,7 @@
     onNewerPolicy: policyFetcher.announce,
     onFollowPolicy: policy.setFollowing,
     onEarlierDeparture: (departure) => restoreDeparture(departure),
+    onStoreRestored: metrics.countStoreRestore,
   });
 
   function recordContact(): void {
@@ -376,6 +377,7 @@
       'Last measured delay of timers, in milliseconds',
       lag.delayMilliseconds,
     );
+    addGauge('store_era', 'Highest era that the store has stated; 0 if it states none', store.era);
     addGauge('members', 'Other nodes that answer', () => directory.livePeers().length);
     addGauge('in_progress', 'Requests without a complete answer', entry.inProgress);
   };
--- a/packages/sidecar/src/lib/process/createSidecarMetrics.ts
+++ b/packages/sidecar/src/lib/process/createSidecarMetrics.ts
@@ -1,6 +1,6 @@
 import type { Outcome, RefusalReason, RetryReason } from '@buckthornslip/common';
 import { createMetrics } from '@buckthornslip/telemetry';
-import { Gauge, Histogram } from 'prom-client';
+import { Counter, Gauge, Histogram } from 'prom-client';
 
 /** Upper bounds of the latency histogram, in seconds. */
 const LATENCY_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8];
@@ -13,6 +13,7 @@
   readonly countRetry: (reason: RetryReason) => void;
   /** @param milliseconds - Time from the arrival of the request to the end of the response. */
   readonly observeCall: (route: string, status: number, milliseconds: number) => void;
+  readonly countStoreRestore: () => void;
   /** Adds a gauge that is read when the metrics are scraped; its name gets the project's prefix. */
   readonly addGauge: (name: string, help: string, read: () => number) => void;
   /** @returns All metrics in the Prometheus text format. */
@@ -33,6 +34,11 @@
     buckets: LATENCY_SECONDS,
     registers: [registry],
   });
+  const storeRestores = new Counter({
+    name: 'buckthornslip_store_restores_total',
+    help: 'Restores of the store from a backup that this process has noticed',
+    registers: [registry],
+  });
   return {
     countRefusal: metrics.countRefusal,
     countRetry: metrics.countRetry,
@@ -40,6 +46,7 @@
       const statusClass = `${Math.floor(status / 100)}xx`;
       calls.observe({ route, status: statusClass }, milliseconds / MILLISECONDS_PER_SECOND);
     },
+    countStoreRestore: () => storeRestores.inc(),
     addGauge: (name, help, read) => {
       const gauge: Gauge = new Gauge({
         name: `buckthornslip_${name}`,
--- a/packages/sidecar/src/lib/testing/createDirectoryFleet.ts
+++ b/packages/sidecar/src/lib/testing/createDirectoryFleet.ts
@@ -64,6 +64,8 @@
   readonly policyRevision: (host: string) => number;
   /** Departures of which restarted hosts have been told. */
   readonly earlierDepartures: Map<string, MemberDeparture>;
+  /** Number of restores of the store that each host has noticed. */
+  readonly restoresSeen: ReadonlyMap<string, number>;
   readonly start: (host: string, incarnation?: number, zone?: ZoneId) => MemberDirectory;
   /** Ends a host without a graceful shutdown. */
   readonly end: (host: string) => void;
@@ -131,6 +133,7 @@
   const followers = new Set<string>();
   const policies = new Map<string, PolicyWatcher>();
   const earlierDepartures = new Map<string, MemberDeparture>();
+  const restoresSeen = new Map<string, number>();
   const messages: SentMessage[] = [];
   const hasStarted = new Set<string>();
   let lastIncarnation = 0;
@@ -209,6 +212,7 @@
         else followers.delete(host);
       },
       onEarlierDeparture: (departure) => earlierDepartures.set(host, departure),
+      onStoreRestored: () => restoresSeen.set(host, (restoresSeen.get(host) ?? 0) + 1),
     });
     directories.set(host, directory);
     hasStarted.add(host);
@@ -240,6 +244,7 @@
       policies.get(host)?.offer(Buffer.from(String(revision)), 'store'),
     policyRevision,
     earlierDepartures,
+    restoresSeen,
     start,
     end,
     usable,
