Merge eras of the store (restore from a backup)

Revisions, watches, leases and registrations hold within one era of the store; an older policy in a restored store does not confirm the newer one.

--- a/packages/sidecar/src/lib/process/createSidecarMetrics.ts
+++ b/packages/sidecar/src/lib/process/createSidecarMetrics.ts
@@ -19,6 +19,7 @@
   readonly countColdLimit: (cause: ColdCause) => void;
   /** @param milliseconds - Time from the arrival of the request to the end of the response. */
   readonly observeCall: (route: string, status: number, milliseconds: number) => void;
+  readonly countStoreRestore: () => void;
   /** Adds a gauge that is read when the metrics are scraped; its name gets the project's prefix. */
   readonly addGauge: (name: string, help: string, read: () => number) => void;
   /** @returns All metrics in the Prometheus text format. */
@@ -51,6 +52,11 @@
     labelNames: ['cause'],
     registers: [registry],
   });
+  const storeRestores = new Counter({
+    name: 'buckthornslip_store_restores_total',
+    help: 'Restores of the store from a backup that this process has noticed',
+    registers: [registry],
+  });
   return {
     countRefusal: metrics.countRefusal,
     countRetry: metrics.countRetry,
@@ -60,6 +66,7 @@
       const statusClass = `${Math.floor(status / 100)}xx`;
       calls.observe({ route, status: statusClass }, milliseconds / MILLISECONDS_PER_SECOND);
     },
+    countStoreRestore: () => storeRestores.inc(),
     addGauge: (name, help, read) => {
       const gauge: Gauge = new Gauge({
         name: `buckthornslip_${name}`,
--- a/packages/sidecar/src/lib/testing/createDirectoryFleet.ts
+++ b/packages/sidecar/src/lib/testing/createDirectoryFleet.ts
@@ -73,6 +73,8 @@
   readonly policyRevision: (host: string) => number;
   /** Departures of which restarted hosts have been told. */
   readonly earlierDepartures: Map<string, MemberDeparture>;
+  /** Number of restores of the store that each host has noticed. */
+  readonly restoresSeen: ReadonlyMap<string, number>;
   readonly start: (host: string, incarnation?: number, zone?: ZoneId) => MemberDirectory;
   /** Ends a host without a graceful shutdown. */
   readonly end: (host: string) => void;
@@ -151,6 +153,7 @@
   const policies = new Map<string, PolicyWatcher>();
   const evacuations = new Map<string, EvacuationOrders>();
   const earlierDepartures = new Map<string, MemberDeparture>();
+  const restoresSeen = new Map<string, number>();
   const messages: SentMessage[] = [];
   const hasStarted = new Set<string>();
   let lastIncarnation = 0;
@@ -248,6 +251,7 @@
         else followers.delete(host);
       },
       onEarlierDeparture: (departure) => earlierDepartures.set(host, departure),
+      onStoreRestored: () => restoresSeen.set(host, (restoresSeen.get(host) ?? 0) + 1),
     });
     directories.set(host, directory);
     orders.changes.pipe(skipWhile(({ size }) => size === 0)).subscribe(directory.announceOrders);
@@ -292,6 +296,7 @@
       policies.get(host)?.offer(Buffer.from(String(revision)), 'store'),
     policyRevision,
     earlierDepartures,
+    restoresSeen,
     start,
     end,
     usable,
