routing, admission: choice of upstreams by expected completion time

Cause: two random members were compared by calls per limit, which counts all calls the same and knows a slow upstream only by its limit. Calls crossed zones only when their own zone was nearly full.

Change: the cost of a call is learned by route, account, method and size in tables of fixed size. An admission controller that is asked to states its remaining work and the speed of its upstream in its load. A router that is given the cost of a call compares members by expected completion time, and sends the call to another zone of the region if it would be clearly faster there. Without a cost, or against members that state no work, calls decide as before. Queued calls that can't start in time behind more urgent ones are refused at once.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -5,6 +5,9 @@
  * @packageDocumentation
  */
 
+export type { CostEstimates } from './lib/cost/createCostEstimates';
+export { createCostEstimates } from './lib/cost/createCostEstimates';
+export type { CostKey } from './lib/cost/CostKey';
 export type { AdmissionController } from './lib/controller/AdmissionController';
 export type { AdmissionLoad } from './lib/controller/AdmissionLoad';
 export type { AdmissionPermit } from './lib/controller/AdmissionPermit';
--- a/packages/admission/src/lib/controller/AdmissionRequest.ts
+++ b/packages/admission/src/lib/controller/AdmissionRequest.ts
@@ -17,4 +17,6 @@
   readonly isolated: boolean;
   /** Class of calls with similar service times, such as the route. */
   readonly requestClass?: string;
+  /** Expected service time on an average upstream, in milliseconds; 0 or undefined if it is not known. */
+  readonly costMilliseconds?: number;
 }
--- a/packages/admission/src/lib/controller/createAdmissionController.ts
+++ b/packages/admission/src/lib/controller/createAdmissionController.ts
@@ -10,6 +10,7 @@
 import type { QueuedCall } from '../queue/QueuedCall';
 import type { ServiceTimeEstimate } from '../service/createServiceTimeEstimate';
 import { createServiceTimeEstimate } from '../service/createServiceTimeEstimate';
+import { createUpstreamWork } from '../work/createUpstreamWork';
 import type { AdmissionController } from './AdmissionController';
 import type { AdmissionOptions } from './AdmissionOptions';
 import type { AdmissionRefusal } from './AdmissionRefusal';
@@ -66,6 +67,7 @@
   const meanServiceTime = createServiceTimeEstimate(clock);
   const queue = createPriorityQueue(() => options.queueCapacity ?? DEFAULT_QUEUE_CAPACITY);
   const waiting = new Set<QueuedCall>();
+  const work = options.estimatesWork ? createUpstreamWork(clock) : undefined;
   let capacity = UNANNOUNCED;
   let maximumRunning = Infinity;
   let cancelRateTimer: (() => void) | undefined;
@@ -85,7 +87,7 @@
   const isLeaving = (): boolean => capacity.state === 'draining' || capacity.state === 'left';
 
   const settle = (call: QueuedCall, result: Admission): void => {
-    waiting.delete(call);
+    if (waiting.delete(call)) work?.dequeue(call);
     if (waiting.size === 0) target.recordEmpty();
     call.settle(result);
   };
@@ -98,6 +100,7 @@
 
   const createPermit = (call: QueuedCall): AdmissionPermit => {
     const startedMilliseconds = now();
+    const runningCall = work?.start(call.costMilliseconds) ?? 0;
     let isReleased = false;
     return {
       queuedMilliseconds: startedMilliseconds - call.arrivedMilliseconds,
@@ -105,9 +108,12 @@
         if (isReleased) return;
         isReleased = true;
         slots.end(call.isolated);
+        work?.end(runningCall);
         if (outcome === 'completed') {
-          call.serviceTime.add(now() - startedMilliseconds);
-          meanServiceTime.add(now() - startedMilliseconds);
+          const tookMilliseconds = now() - startedMilliseconds;
+          call.serviceTime.add(tookMilliseconds);
+          meanServiceTime.add(tookMilliseconds);
+          work?.recordTime(call.costMilliseconds, tookMilliseconds);
         }
         limit.observe({ startedMilliseconds, endedMilliseconds: now(), outcome });
         startQueuedCalls();
@@ -161,7 +167,12 @@
   };
 
   const enqueue = (call: QueuedCall): void => {
+    if (work?.isTooLate(call, currentLimit())) {
+      call.settle(failure({ kind: 'deadline-unreachable' }));
+      return;
+    }
     waiting.add(call);
+    work?.enqueue(call);
     const dropped = queue.add(call);
     startQueuedCalls();
     if (dropped) refuse(dropped, { kind: 'queue-full' });
@@ -203,6 +214,7 @@
       expiresMilliseconds: Math.min(latestStartMilliseconds, arrivedMilliseconds + longestWait),
       settle: settleCall,
       serviceTime,
+      costMilliseconds: request.costMilliseconds ?? 0,
     };
   };
 
@@ -267,6 +279,7 @@
       queued: queue.size(),
       limit: reportedLimit(),
       cutoffRank: cutoff.rank(),
+      ...(work && { workMilliseconds: work.milliseconds(), speed: work.speed() }),
     }),
   };
 }
--- a/packages/admission/src/lib/queue/QueuedCall.ts
+++ b/packages/admission/src/lib/queue/QueuedCall.ts
@@ -24,4 +24,6 @@
   readonly settle: (result: Result<AdmissionPermit, AdmissionRefusal>) => void;
   /** Service time estimate of the call's request class. */
   readonly serviceTime: ServiceTimeEstimate;
+  /** Expected service time on an average upstream, in milliseconds; 0 if it is not known. */
+  readonly costMilliseconds: number;
 }
--- a/packages/routing/src/lib/choice/AttemptReport.ts
+++ b/packages/routing/src/lib/choice/AttemptReport.ts
@@ -18,4 +18,8 @@
   readonly transferredBytes: number;
   /** Load report carried by the answer, if any. */
   readonly load: LoadReport | undefined;
+  /** Time that the upstream took, without the time in the queue, in milliseconds; undefined if it is not known. */
+  readonly serviceMilliseconds?: number | undefined;
+  /** The expected service time that the choice was made with, in milliseconds. */
+  readonly costMilliseconds?: number | undefined;
 }
--- a/packages/routing/src/lib/choice/RouteRequest.ts
+++ b/packages/routing/src/lib/choice/RouteRequest.ts
@@ -12,4 +12,9 @@
   readonly bodyBytes: number | undefined;
   /** Hosts already tried by earlier attempts of this call. */
   readonly excludedHosts: ReadonlySet<HostId>;
+  /**
+   * Expected service time on an average upstream, in milliseconds. If it is given, members are compared by expected
+   * completion time; 0 if it is not known.
+   */
+  readonly costMilliseconds?: number | undefined;
 }
--- a/packages/routing/src/lib/members/TrackedMember.ts
+++ b/packages/routing/src/lib/members/TrackedMember.ts
@@ -18,6 +18,10 @@
   inFlight: number;
   /** Value of `inFlight` when the last load report arrived. */
   inFlightAtReport: number;
+  /** Sum of the expected service times of the attempts in flight, in milliseconds. */
+  workInFlight: number;
+  /** Value of `workInFlight` when the last load report arrived. */
+  workInFlightAtReport: number;
   /** Totals of the locality that contains the member; undefined while it may not be chosen. */
   locality: LocalityTotals | undefined;
   /** Calls of this member that are included in the locality's total load. */
--- a/packages/routing/src/lib/members/createTrackedMember.ts
+++ b/packages/routing/src/lib/members/createTrackedMember.ts
@@ -15,6 +15,8 @@
     loadAt: 0,
     inFlight: 0,
     inFlightAtReport: 0,
+    workInFlight: 0,
+    workInFlightAtReport: 0,
     locality: undefined,
     countedLoad: 0,
     linkBytes: 0,
--- a/packages/routing/src/lib/service/applyLoadReport.ts
+++ b/packages/routing/src/lib/service/applyLoadReport.ts
@@ -21,8 +21,13 @@
     return;
   }
   const earlierLimit = memberLimit(tracked);
-  const { inFlight, locality } = tracked;
-  Object.assign(tracked, { load, loadAt: now, inFlightAtReport: inFlight });
+  const { inFlight, locality, workInFlight } = tracked;
+  Object.assign(tracked, {
+    load,
+    loadAt: now,
+    inFlightAtReport: inFlight,
+    workInFlightAtReport: workInFlight,
+  });
   setCountedLoad(tracked, Math.max(inFlight, load.running + load.queued));
   if (!locality) return;
   locality.limit += memberLimit(tracked) - earlierLimit;
--- a/packages/routing/src/lib/service/createMemberTable.ts
+++ b/packages/routing/src/lib/service/createMemberTable.ts
@@ -59,7 +59,10 @@
       const isNew = now - firstListAt > INITIAL_DISCOVERY_MILLISECONDS;
       const created = createTrackedMember(member, isNew ? now : -Infinity);
       // Attempts at the previous process still have to end and to reconcile their link bytes.
-      if (known) Object.assign(created, { inFlight: known.inFlight, linkBytes: known.linkBytes });
+      if (known) {
+        const { inFlight, linkBytes, workInFlight } = known;
+        Object.assign(created, { inFlight, linkBytes, workInFlight });
+      }
       trackedByHost.set(member.host, created);
       return;
     }
--- a/packages/routing/src/lib/service/createServiceRouter.ts
+++ b/packages/routing/src/lib/service/createServiceRouter.ts
@@ -3,7 +3,7 @@
 import type { Member } from '@buckthornslip/membership';
 
 import type { TrackedMember } from '../members/TrackedMember';
-import { memberScore } from '../members/memberScore';
+import { compareMembers } from '../members/compareMembers';
 import { isCutOff } from '../members/isCutOff';
 import type { RouteRequest } from '../choice/RouteRequest';
 import type { RouterOptions } from '../choice/RouterOptions';
@@ -14,13 +14,17 @@
 import { applyLoadReport } from './applyLoadReport';
 import { createMemberTable } from './createMemberTable';
 import { createLinkCharges } from './createLinkCharges';
+import { createRoundTrips } from './createRoundTrips';
+import { fasterMember } from './fasterMember';
 import { isLocalityCutOff } from './isLocalityCutOff';
-import { localityIndex, OTHER_REGION } from './localityIndex';
+import { localityIndex, OTHER_REGION, OWN_REGION, OWN_ZONE } from './localityIndex';
 import { localityOrder } from './localityOrder';
 import { pickMember } from './pickMember';
 import { setCountedLoad } from './setCountedLoad';
 import type { ServiceRouter } from './ServiceRouter';
 
+const NO_REGIONS: ReadonlySet<RegionId> = new Set();
+
 /**
  * Creates the router of one service and subscribes to changes of its members.
  *
@@ -41,12 +45,19 @@
   const table = createMemberTable(options);
   const recordAndEject = createEjector(options, settings, table);
   const linkCharges = createLinkCharges(budgetOf, settings.undeclaredBodyBytes);
+  const roundTrips = createRoundTrips();
   const now = (): number => clock.monotonicMilliseconds();
   const isInOtherRegion = ({ member }: TrackedMember): boolean =>
     localityIndex(options, member) === OTHER_REGION;
 
-  const start = (tracked: TrackedMember): Result<Member, RoutingRefusal> => {
-    Object.assign(tracked, { inFlight: tracked.inFlight + 1 });
+  const start = (
+    tracked: TrackedMember,
+    costMilliseconds: number,
+  ): Result<Member, RoutingRefusal> => {
+    Object.assign(tracked, {
+      inFlight: tracked.inFlight + 1,
+      workInFlight: tracked.workInFlight + costMilliseconds,
+    });
     setCountedLoad(tracked, tracked.countedLoad + 1);
     return success(tracked.member);
   };
@@ -62,8 +73,10 @@
       !request.excludedHosts.has(tracked.member.host) &&
       !exhaustedLinks.has(tracked.member.region) &&
       !isCutOff(tracked, rank, time, settings);
-    const score = (tracked: TrackedMember): number => memberScore(tracked, time, settings);
-    return pickMember(table.localities()[index]!.members, isAllowed, score, random);
+    const { costMilliseconds } = request;
+    const compare = (left: TrackedMember, right: TrackedMember): number =>
+      compareMembers(left, right, costMilliseconds, time, settings);
+    return pickMember(table.localities()[index]!.members, isAllowed, compare, random);
   };
 
   /** Members in other regions also need bytes from the budget of the link to their region. */
@@ -80,6 +93,16 @@
     return tracked;
   };
 
+  /** With an expected cost, a call may be sent to another zone of the region before its own zone is full. */
+  const pickInRegion = (near: TrackedMember, request: RouteRequest): TrackedMember => {
+    const { costMilliseconds } = request;
+    if (costMilliseconds === undefined) return near;
+    const far = pick(OWN_REGION, request, NO_REGIONS);
+    const detourMilliseconds =
+      roundTrips.milliseconds(OWN_REGION) - roundTrips.milliseconds(OWN_ZONE);
+    return fasterMember(near, far, { costMilliseconds, detourMilliseconds }, now(), settings);
+  };
+
   const refusal = (sawCutOff: boolean, sawExhaustedLink: boolean): RoutingRefusal => {
     if (sawExhaustedLink) return { kind: 'link-budget' };
     return { kind: sawCutOff ? 'priority-cutoff' : 'no-upstream' };
@@ -95,8 +118,9 @@
         sawCutOff = true;
         continue;
       }
-      const tracked = pickWithinLinkBudget(index, request, exhaustedLinks);
-      if (tracked) return start(tracked);
+      const picked = pickWithinLinkBudget(index, request, exhaustedLinks);
+      const tracked = picked && index === OWN_ZONE ? pickInRegion(picked, request) : picked;
+      if (tracked) return start(tracked, request.costMilliseconds ?? 0);
     }
     return failure(refusal(sawCutOff, exhaustedLinks.size > 0));
   };
@@ -112,8 +136,19 @@
     report: (report) => {
       const tracked = table.find(report.host);
       if (!tracked) return;
+      if (report.serviceMilliseconds !== undefined) {
+        const { latencyMilliseconds, serviceMilliseconds } = report;
+        const locality = localityIndex(options, tracked.member);
+        roundTrips.add(locality, latencyMilliseconds - serviceMilliseconds);
+      }
       if (isInOtherRegion(tracked)) linkCharges.reconcile(tracked, report.transferredBytes);
-      Object.assign(tracked, { inFlight: Math.max(0, tracked.inFlight - 1) });
+      const inFlight = Math.max(0, tracked.inFlight - 1);
+      const workLeft = tracked.workInFlight - (report.costMilliseconds ?? 0);
+      // The sum of many additions and subtractions drifts, so it starts again from zero without attempts in flight.
+      Object.assign(tracked, {
+        inFlight,
+        workInFlight: inFlight === 0 ? 0 : Math.max(0, workLeft),
+      });
       applyLoadReport(tracked, report.load, now());
       recordAndEject(tracked, report.outcome);
     },
--- a/packages/routing/src/lib/service/localityIndex.ts
+++ b/packages/routing/src/lib/service/localityIndex.ts
@@ -4,6 +4,12 @@
 /** Number of localities: own zone, own region, other regions. */
 export const LOCALITY_COUNT = 3;
 
+/** Locality of members in the zone of this node. */
+export const OWN_ZONE = 0;
+
+/** Locality of members in the other zones of the region. */
+export const OWN_REGION = 1;
+
 /** Locality of members in other regions, which are reached over a link with a byte budget. */
 export const OTHER_REGION = 2;
 
@@ -18,5 +24,5 @@
   member: Member,
 ): number {
   if (member.region !== own.region) return OTHER_REGION;
-  return member.zone === own.zone ? 0 : 1;
+  return member.zone === own.zone ? OWN_ZONE : OWN_REGION;
 }
--- a/packages/routing/src/lib/service/pickMember.ts
+++ b/packages/routing/src/lib/service/pickMember.ts
@@ -5,8 +5,8 @@
 /** Tells whether a member may be chosen for a call. */
 type Filter = (tracked: TrackedMember) => boolean;
 
-/** Returns the score to compare; the lower one wins. */
-type Score = (tracked: TrackedMember) => number;
+/** Returns a negative number if the first member is the better choice, 0 if both are equal. */
+type Compare = (left: TrackedMember, right: TrackedMember) => number;
 
 function sampleTwo(list: readonly TrackedMember[], random: RandomSource): readonly TrackedMember[] {
   if (list.length <= 2) return list;
@@ -17,12 +17,12 @@
 
 function lessLoaded(
   pair: readonly TrackedMember[],
-  score: Score,
+  compare: Compare,
   random: RandomSource,
 ): TrackedMember | undefined {
   const [left, right] = pair;
   if (!left || !right) return left;
-  const difference = score(left) - score(right);
+  const difference = compare(left, right);
   // Ties are broken at random, so that equal members are chosen equally often.
   if (difference === 0) return random.nextInteger(2) === 0 ? left : right;
   return difference < 0 ? left : right;
@@ -34,7 +34,7 @@
  *
  * @param list - Members of one locality.
  * @param isAllowed - Filter for this call.
- * @param score - Score to compare; the lower one wins.
+ * @param compare - Comparison of two members for this call.
  * @param random - Source of randomness.
  * @returns The chosen member; undefined if none is allowed.
  * @internal
@@ -42,10 +42,10 @@
 export function pickMember(
   list: readonly TrackedMember[],
   isAllowed: Filter,
-  score: Score,
+  compare: Compare,
   random: RandomSource,
 ): TrackedMember | undefined {
   const sampled = sampleTwo(list, random).filter(isAllowed);
-  if (sampled.length > 0 || list.length <= 2) return lessLoaded(sampled, score, random);
-  return lessLoaded(sampleTwo(list.filter(isAllowed), random), score, random);
+  if (sampled.length > 0 || list.length <= 2) return lessLoaded(sampled, compare, random);
+  return lessLoaded(sampleTwo(list.filter(isAllowed), random), compare, random);
 }
