sidecar: calls carry their expected cost to the router and to admission

Cause: the learned costs were not used by the call path.

Change: with the option placesByExpectedWork the entry node passes the expected cost of a call to the router and learns from the service time in the response; the serving node measures that time and passes the cost to admission. Two gauges and two log events show work and speed of the upstream. Without the option no field of a message changes.

--- a/packages/sidecar/src/lib/entry/EntryOptions.ts
+++ b/packages/sidecar/src/lib/entry/EntryOptions.ts
@@ -6,6 +6,7 @@
 import type { PeerLinks } from '../peers/createPeerLinks';
 import type { PolicyWatcher } from '../policy/PolicyWatcher';
 import type { PriorityRanks } from '../policy/createPriorityRanks';
+import type { CallCosts } from '../serving/createCallCosts';
 import type { RunningCalls } from '../serving/createRunningCalls';
 import type { RouteTable } from '../policy/createRouteTable';
 import type { CallProtocol } from '../protocol/CallProtocol';
@@ -35,6 +36,8 @@
   readonly refreshMember: (host: HostId) => void;
   readonly retries: ServiceRetryBudget;
   readonly callServer: CallServer;
+  /** Costs of calls; undefined if calls are not placed by expected work. */
+  readonly costs: CallCosts | undefined;
   /** Host of this node; calls to its local upstream use no peer connection. */
   readonly host: HostId;
   /** Service of the local upstream, from which all requests at this entry come. */
--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -115,6 +115,7 @@
     },
     refreshMember: (host) => refreshed.push(host),
     retries: createServiceRetryBudget({ ratio: 0, burst: 0 }),
+    costs: undefined,
     callServer: { serve },
     host: HOST,
     callerService: SERVICE,
--- a/packages/sidecar/src/lib/entry/createForwarder.ts
+++ b/packages/sidecar/src/lib/entry/createForwarder.ts
@@ -60,14 +60,20 @@
  * @internal
  */
 export function createForwarder(options: EntryOptions): Forwarder {
-  const { clock, host, links, logger, metrics, refreshMember, retries, router, callServer } =
-    options;
+  const { clock, costs, host, links, logger, metrics, refreshMember, retries, router } = options;
+  const { callServer } = options;
 
-  const send = async (member: Member, call: CallAttempt): Promise<AttemptResult> => {
+  const send = async (
+    member: Member,
+    call: CallAttempt,
+    costMilliseconds: number | undefined,
+  ): Promise<AttemptResult> => {
     const sentMilliseconds = clock.monotonicMilliseconds();
     const result = await (member.host === host
       ? callServer.serve(call)
       : links.get(member.peerAddress).call(call));
+    const { serviceMilliseconds } = result;
+    if (serviceMilliseconds !== undefined) costs?.observeAnswer(call, serviceMilliseconds);
     router.report({
       host: member.host,
       service: call.service,
@@ -75,6 +81,8 @@
       latencyMilliseconds: clock.monotonicMilliseconds() - sentMilliseconds,
       transferredBytes: result.answer.kind === 'answer' ? result.answer.body.length : 0,
       load: result.load,
+      serviceMilliseconds,
+      costMilliseconds,
     });
     const { answer } = result;
     if (answer.kind === 'refusal' && STALE_STATE_REASONS.has(answer.reason))
@@ -118,18 +126,21 @@
     for (;;) {
       const reason = scope.cancelReason();
       if (reason !== undefined) return progress.finish(refuse(reason));
+      const costMilliseconds = costs?.expected(call);
       const chosen = await router.choose({
         service: call.service,
         priority: priorityOfRank(call.rank),
         bodyBytes: undefined,
         excludedHosts: progress.excludedHosts,
+        costMilliseconds,
       });
       if (!chosen.ok)
         return progress.finish(progress.attempts() > 0 ? last : refuse(chosen.error.kind));
       const member = chosen.value;
       progress.excludedHosts.add(member.host);
       const isRepeat = call.isRepeat || progress.upstreamAttempts() > 0;
-      const result = await send(member, isRepeat ? { ...call, isRepeat } : call);
+      const attempt = isRepeat ? { ...call, isRepeat } : call;
+      const result = await send(member, attempt, costMilliseconds);
       const { answer } = result;
       if (!isRetryable(answer, progress)) {
         if (answer.kind === 'refusal') {
--- a/packages/sidecar/src/lib/process/SidecarOptions.ts
+++ b/packages/sidecar/src/lib/process/SidecarOptions.ts
@@ -39,6 +39,8 @@
   /** Whether the whole system is starting for the first time. */
   readonly isFirstStart: boolean;
   readonly retries: FleetRetrySettings;
+  /** Whether upstreams are chosen by expected work instead of the number of calls. */
+  readonly placesByExpectedWork: boolean;
   /** Time limit of a graceful stop, in milliseconds. */
   readonly stopMilliseconds: number;
   /** Key of the policy in the store. */
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -28,9 +28,11 @@
 import { createPriorityRanks } from '../policy/createPriorityRanks';
 import { createLedgerLocator } from '../quota/createLedgerLocator';
 import { createLedgerPeers } from '../quota/createLedgerPeers';
+import { createCallCosts } from '../serving/createCallCosts';
 import { createRepeatLimit } from '../serving/createRepeatLimit';
 import { createRunningCalls } from '../serving/createRunningCalls';
 import { createInterruptedCalls } from '../serving/createInterruptedCalls';
+import { createSlowUpstreamLog } from '../serving/createSlowUpstreamLog';
 import { createStatedLimit } from '../serving/createStatedLimit';
 import { createSuspects } from '../serving/createSuspects';
 import { createCallServer } from '../serving/createCallServer';
@@ -107,7 +109,12 @@
   const { region, service, store, zone } = options;
   const metrics = createSidecarMetrics();
   // Upstreams occupy a slot while they wait for nested calls, so their latency is a poor signal of their load.
-  const admission = createAdmissionController({ clock, adaptsToLatency: false });
+  const admission = createAdmissionController({
+    clock,
+    adaptsToLatency: false,
+    estimatesWork: options.placesByExpectedWork,
+  });
+  const costs = options.placesByExpectedWork ? createCallCosts() : undefined;
   const ticker = createTicker(clock, channelTimes.checkInterval);
   const links = createPeerLinks({
     clock,
@@ -299,6 +306,8 @@
     running: runningCalls,
     statedLimit,
     suspects,
+    costs,
+    recordSpeed: createSlowUpstreamLog(clock, logger),
     repeats: createRepeatLimit({
       ...options.retries,
       upstreamCount: memoizeByRevision(directory.revision, () => directory.members(service).length),
@@ -323,6 +332,7 @@
       burst: ENTRY_RETRY_BURST,
     }),
     callServer,
+    costs,
     host,
     callerService: service,
     links,
@@ -365,6 +375,16 @@
     addGauge('running', 'Calls running at the upstream', () => load().running);
     addGauge('queued', 'Calls waiting for the upstream', () => load().queued);
     addGauge('limit', 'Calls that may run at once', () => load().limit);
+    addGauge(
+      'upstream_work',
+      'Expected remaining work of running and queued calls, in milliseconds at speed 1; -1 if not estimated',
+      () => load().workMilliseconds ?? -1,
+    );
+    addGauge(
+      'upstream_speed',
+      'Speed of the upstream, 1 for an average one of its service; -1 if not estimated',
+      () => load().speed ?? -1,
+    );
     addGauge('policy_revision', 'Revision of the policy in force', policyRevision);
     addGauge(
       'policy_age',
--- a/packages/sidecar/src/lib/serving/AttemptResult.ts
+++ b/packages/sidecar/src/lib/serving/AttemptResult.ts
@@ -28,7 +28,10 @@
    * would not help then.
    */
   readonly isShed?: boolean;
-  /** Time that the upstream took for the call, without the time in the queue, in milliseconds; undefined if it did not answer. */
+  /**
+   * Time that the upstream took for the call, without the time in the queue but with its nested calls, in milliseconds;
+   * undefined if the call did not succeed, is streamed, or is not placed by expected work.
+   */
   readonly serviceMilliseconds?: number | undefined;
   /**
    * Share of the recent calls of the same route there whose nested calls were not refused for lack of room, 0 to 1; undefined if
--- a/packages/sidecar/src/lib/serving/createCallServer.ts
+++ b/packages/sidecar/src/lib/serving/createCallServer.ts
@@ -18,6 +18,7 @@
 import type { CallProtocol } from '../protocol/CallProtocol';
 import { isNotRunStatus } from '../protocol/isNotRunStatus';
 import type { ResponseHead } from '../protocol/ResponseHead';
+import type { CallCosts } from './createCallCosts';
 import type { RepeatLimit } from './createRepeatLimit';
 import { isSameStart } from './isSameStart';
 import type { RunningCalls } from './createRunningCalls';
@@ -39,6 +40,10 @@
   readonly running: RunningCalls;
   readonly repeats: RepeatLimit;
   readonly suspects: Pick<Suspects, 'check' | 'begin' | 'recordEnd'>;
+  /** Costs of calls; undefined if calls are not placed by expected work. */
+  readonly costs: CallCosts | undefined;
+  /** Takes the speed of the upstream after each call. */
+  readonly recordSpeed: (speed: number | undefined) => void;
   readonly logger: EventLogger;
 }
 
@@ -113,7 +118,7 @@
  */
 export function createCallServer(options: CallServerOptions): CallServer {
   const { admission, clock, logger, poolOf, protocol, running, statedLimit, upstream } = options;
-  const { repeats, suspects } = options;
+  const { costs, recordSpeed, repeats, suspects } = options;
 
   const refuseByState = (
     call: CallAttempt,
@@ -195,6 +200,20 @@
     return isServerError(answer.status) ? 'failed' : 'completed';
   };
 
+  /** @returns Time of a completed call, with the time that the upstream waited for nested calls. */
+  const observeTime = (
+    call: CallAttempt,
+    outcome: PermitOutcome,
+    result: ExchangeResult,
+    startedMilliseconds: number,
+  ): number | undefined => {
+    // A streamed response is still being received, at the pace of its reader.
+    if (!costs || outcome !== 'completed' || result.kind !== 'whole') return undefined;
+    const milliseconds = clock.monotonicMilliseconds() - startedMilliseconds;
+    costs.observeLocal(call, milliseconds);
+    return milliseconds;
+  };
+
   const run = async (
     call: CallAttempt,
     view: UpstreamView,
@@ -235,6 +254,7 @@
       .finally(tracked.end);
     const answer = toAnswer(call, view, result, head);
     const outcome = permitOutcome(result, answer);
+    const serviceMilliseconds = observeTime(call, outcome, result, now);
     const ending = endingOf(result, answer, head);
     const rest = answer.kind === 'answer' ? answer.rest : undefined;
     if (rest) {
@@ -259,7 +279,11 @@
         failure: result.kind === 'failed' ? result.failure : undefined,
       });
     }
-    return { answer, isShed: isShed(answer) || (hasFailed(answer) && tracked.hasShedCall()) };
+    return {
+      answer,
+      isShed: isShed(answer) || (hasFailed(answer) && tracked.hasShedCall()),
+      serviceMilliseconds,
+    };
   };
 
   /** Counts a call that is about to be sent to the upstream. */
@@ -287,6 +311,7 @@
       remainingMilliseconds: call.scope.remainingMilliseconds(),
       isolated: false,
       requestClass: call.route,
+      ...(costs && { costMilliseconds: costs.expected(call) }),
     };
     const admitted =
       admission.tryAdmit(request) ?? (await admission.admit(request, call.scope.signal));
@@ -313,7 +338,9 @@
   return {
     serve: async (call) => {
       const served = await admit(call);
-      return { ...served, load: admission.load() };
+      const load = admission.load();
+      recordSpeed(load.speed);
+      return { ...served, load };
     },
   };
 }
--- a/packages/telemetry/src/lib/events/sidecarEvents.ts
+++ b/packages/telemetry/src/lib/events/sidecarEvents.ts
@@ -170,4 +170,15 @@
     level: 'warn',
     message: 'timers ran late, because the process had too much work or too little processor time',
   },
+  upstreamSlow: {
+    number: 7600,
+    level: 'warn',
+    message: 'upstream has taken more than twice the usual time of its service for several seconds',
+    action: 'Check the host of the upstream.',
+  },
+  upstreamSpeedUsual: {
+    number: 7601,
+    level: 'info',
+    message: 'upstream takes about the usual time of its service again',
+  },
 } as const satisfies Record<string, EventDefinition>;
