admission: bound of the wait is on the low side also when a slow phase ends

Change: the higher one of the recent and the usual speed counts, and 0.8 of the expected wait, less two standard deviations of the work ahead. The test compares with the same calls without the check, with accounts that the fair queue lets pass others.

--- a/packages/admission/src/lib/work/createSpeedEstimate.ts
+++ b/packages/admission/src/lib/work/createSpeedEstimate.ts
@@ -26,6 +26,8 @@
   readonly add: (costMilliseconds: number, tookMilliseconds: number) => void;
   /** @returns Above 1 for a fast upstream; 1 without samples. */
   readonly current: () => number;
+  /** @returns The higher one of the recent and the usual speed, which a slow phase may return to at any moment. */
+  readonly highest: () => number;
 }
 
 function limit(speed: number): number {
@@ -49,13 +51,26 @@
     const elapsed = now() - updated;
     if (elapsed <= 0) return;
     updated += elapsed;
-    const recent = Math.exp(-elapsed / RECENT_MILLISECONDS);
-    const usual = Math.exp(-elapsed / USUAL_MILLISECONDS);
-    recentCost *= recent;
-    recentTime *= recent;
-    usualCost *= usual;
-    usualTime *= usual;
-    usualCalls *= usual;
+    const recentShare = Math.exp(-elapsed / RECENT_MILLISECONDS);
+    const usualShare = Math.exp(-elapsed / USUAL_MILLISECONDS);
+    recentCost *= recentShare;
+    recentTime *= recentShare;
+    usualCost *= usualShare;
+    usualTime *= usualShare;
+    usualCalls *= usualShare;
+  };
+
+  const usual = (): number => {
+    if (usualCalls === 0) return 1;
+    const prior = (INITIAL_CALLS * usualCost) / usualCalls;
+    return limit((usualCost + prior) / (usualTime + prior));
+  };
+
+  const current = (): number => {
+    decay();
+    if (usualCalls === 0) return 1;
+    const weight = (USUAL_CALLS * usualCost) / usualCalls;
+    return limit((recentCost + weight) / (recentTime + weight / usual()));
   };
 
   return {
@@ -68,14 +83,7 @@
       usualTime += took;
       usualCalls += 1;
     },
-    current: () => {
-      decay();
-      if (usualCalls === 0) return 1;
-      const meanCost = usualCost / usualCalls;
-      const prior = INITIAL_CALLS * meanCost;
-      const usual = limit((usualCost + prior) / (usualTime + prior));
-      const weight = USUAL_CALLS * meanCost;
-      return limit((recentCost + weight) / (recentTime + weight / usual));
-    },
+    current,
+    highest: () => Math.max(current(), usual()),
   };
 }
--- a/packages/admission/src/lib/work/createUpstreamWork.ts
+++ b/packages/admission/src/lib/work/createUpstreamWork.ts
@@ -57,7 +57,7 @@
       const { latestStartMilliseconds, rank } = call;
       // A call that reaches the queue target first may be served until then.
       if (latestStartMilliseconds > call.expiresMilliseconds) return false;
-      const workPerMillisecond = limit * speed.current();
+      const workPerMillisecond = limit * speed.highest();
       const wait = waitBound.milliseconds(rank, latestStartMilliseconds, workPerMillisecond);
       return clock.monotonicMilliseconds() + wait > latestStartMilliseconds;
     },
--- a/packages/admission/src/lib/work/createWaitBound.ts
+++ b/packages/admission/src/lib/work/createWaitBound.ts
@@ -11,11 +11,10 @@
 const DEVIATIONS = 2;
 
 /**
- * Share of the expected wait that counts, because speed and costs may have changed since they were learned. A call that
- * is queued in vain takes no slot and leaves at its latest start, while a call that is refused in error is lost, so the
- * bound is on the low side.
+ * Share of the expected wait that counts, for costs that are learned from few calls. A call that is queued in vain takes
+ * no slot and leaves at its latest start, while a call that is refused in error is lost, so the bound is on the low side.
  */
-const CERTAIN_SHARE = 0.5;
+const CERTAIN_SHARE = 0.8;
 
 /** A call as the bound sees it. */
 interface WaitingCall {
@@ -36,7 +35,7 @@
   /**
    * @param rank - Rank of the waiting call.
    * @param untilMilliseconds - Monotonic time; calls that leave the queue before it don't count.
-   * @param workPerMillisecond - Work that the upstream completes in a millisecond, at speed 1.
+   * @param workPerMillisecond - Most work that the upstream may complete in a millisecond, at speed 1.
    * @returns Time in milliseconds.
    */
   readonly milliseconds: (
