--- a/packages/routing/src/lib/choice/RouteRequest.ts
+++ b/packages/routing/src/lib/choice/RouteRequest.ts
@@ -14,4 +14,9 @@
   readonly excludedHosts: ReadonlySet<HostId>;
   /** Regions in which a member may be chosen; undefined for all. */
   readonly allowedRegions: ReadonlySet<RegionId> | undefined;
+  /**
+   * Expected service time on an average upstream, in milliseconds. If it is given, members are compared by expected
+   * completion time; 0 if it is not known.
+   */
+  readonly costMilliseconds?: number | undefined;
 }
--- a/packages/sidecar/src/lib/serving/evacuatedQueue.test.ts
+++ b/packages/sidecar/src/lib/serving/evacuatedQueue.test.ts
@@ -65,6 +65,8 @@
       whenKnown: () => clock.sleep(WAIT_MILLISECONDS),
     },
     statedLimit: { record: () => undefined, startInstance: () => undefined },
+    costs: undefined,
+    recordSpeed: () => undefined,
     poolOf: () => pool,
     protocol: {
       readRequest: () => ({}) as never,
