sidecar: calls state the cost that their entry node expects

A serving node that sends no calls of its own to the service knew only the times of its own upstream, so its speed was that of the last calls against those before; one stall made a fast upstream look slow until its report had expired. Change: Call.cost_milliseconds carries the entry node's estimate, from which the serving node computes work and speed.

--- a/packages/sidecar/src/lib/entry/createForwarder.ts
+++ b/packages/sidecar/src/lib/entry/createForwarder.ts
@@ -142,7 +142,7 @@
       const member = chosen.value;
       progress.excludedHosts.add(member.host);
       const isRepeat = call.isRepeat || progress.upstreamAttempts() > 0;
-      const attempt = isRepeat ? { ...call, isRepeat } : call;
+      const attempt = { ...call, isRepeat, costMilliseconds: costMilliseconds || undefined };
       const result = await send(member, attempt, costMilliseconds);
       const { answer } = result;
       if (!isRetryable(answer, progress)) {
--- a/packages/sidecar/src/lib/serving/CallAttempt.ts
+++ b/packages/sidecar/src/lib/serving/CallAttempt.ts
@@ -29,6 +29,10 @@
    * such a run are repeats as well.
    */
   readonly isRepeat: boolean;
+  /**
+   * Service time that the entry node expects on an average upstream of the service, in milliseconds; undefined if it expects none.
+   */
+  readonly costMilliseconds?: number | undefined;
   readonly method: string;
   readonly target: string;
   /** End-to-end headers of the request, as alternating names and values. */
--- a/packages/sidecar/src/lib/serving/createCallServer.ts
+++ b/packages/sidecar/src/lib/serving/createCallServer.ts
@@ -330,7 +330,8 @@
       remainingMilliseconds: call.scope.remainingMilliseconds(),
       isolated: false,
       requestClass: call.route,
-      ...(costs && { costMilliseconds: costs.expected(call) }),
+      // The entry node has seen responses of several upstreams, this node perhaps only those of its own.
+      ...(costs && { costMilliseconds: call.costMilliseconds ?? costs.expected(call) }),
     };
     const admitted =
       admission.tryAdmit(request) ?? (await admission.admit(request, call.scope.signal));
