--- a/packages/telemetry/src/lib/events/sidecarEvents.ts
+++ b/packages/telemetry/src/lib/events/sidecarEvents.ts
@@ -62,6 +62,18 @@
     message: 'body exceeded the limit; the connection was closed',
     perCall: true,
   },
+  earlyRefusalStarted: {
+    number: 7010,
+    level: 'warn',
+    message:
+      'calls are refused at this entry because serving nodes report that calls below them lack room',
+    action: 'Look for the service below the route that lacks capacity.',
+  },
+  earlyRefusalEnded: {
+    number: 7011,
+    level: 'info',
+    message: 'no calls are refused early at this entry any more',
+  },
   upstreamStateChanged: { number: 7100, level: 'info', message: 'upstream changed its state' },
   upstreamCrashed: {
     number: 7105,
