sidecar: refuse calls at their entry if calls below them lack room

Change: a running call remembers whether it made nested calls and whether one of them was refused for lack of room. The call server counts that, marks the failed run (isNestedRefused) and adds the share of its route to each result. The entry uses createEntryThrottle, and its refusals carry a Retry-After that needs no more jitter. Gauge early_refusal_routes, counter early_refusals_total.

--- a/packages/sidecar/src/lib/entry/createCallProgress.ts
+++ b/packages/sidecar/src/lib/entry/createCallProgress.ts
@@ -41,6 +41,7 @@
   let upstreamAttempts = 0;
   let outcome: Outcome = 'not-run';
   let isShed = false;
+  let isNestedRefused = false;
   let firstFailure: { readonly answer: UpstreamResponse; readonly host: HostId } | undefined;
   return {
     excludedHosts: new Set(),
@@ -50,6 +51,7 @@
     recordAttempt: ({ answer, ...result }, member) => {
       attempts += 1;
       isShed ||= result.isShed ?? false;
+      isNestedRefused ||= result.isNestedRefused ?? false;
       if (mayHaveReachedUpstream(answer)) upstreamAttempts += 1;
       if (answer.kind === 'answer') {
         outcome = 'ran';
@@ -57,8 +59,14 @@
       } else if (answer.outcome !== 'not-run' && outcome === 'not-run') outcome = answer.outcome;
     },
     finish: (refusal, member) => {
-      if (firstFailure) return { ...firstFailure, attempts, isShed };
-      return { answer: { ...refusal, outcome }, attempts, host: member?.host, isShed };
+      if (firstFailure) return { ...firstFailure, attempts, isShed, isNestedRefused };
+      return {
+        answer: { ...refusal, outcome },
+        attempts,
+        host: member?.host,
+        isShed,
+        isNestedRefused,
+      };
     },
     discardFailure: () => firstFailure?.answer.rest?.destroy(),
   };
--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -71,11 +71,12 @@
   const random = createSeededRandom(1);
   const running = createRunningCalls();
   const refreshed: string[] = [];
+  const metrics = createSidecarMetrics();
   const entry = createEntry({
     clock,
     random,
     logger: createSilentLogger(),
-    metrics: createSidecarMetrics(),
+    metrics,
     protocol: {
       readRequest: ({ id, key, timeout }) => ({
         requestId: String(id),
@@ -168,7 +169,7 @@
     }
     return sent;
   };
-  return { clock, send, sendRepeatedly, received, running, close, refreshed };
+  return { clock, send, sendRepeatedly, received, running, close, refreshed, metrics };
 }
 
 const answered = (body = 'ok') =>
@@ -260,6 +261,53 @@
   close();
 });
 
+// Guards against losing on the way up the chain that a call was refused for lack of room: an upstream answers its own caller with
+// 500 then.
+void t.test('a parent learns that a call below it was refused for lack of room', async (test) => {
+  const results = [
+    { answer: refuse('upstream-failed', 'ran'), load: undefined },
+    { answer: refuse('queue-full'), load: undefined, isShed: true },
+    { answer: refuse('queue-full'), load: undefined },
+    { ...answered(), answer: { ...answered().answer, status: 500 }, isNestedRefused: true },
+  ];
+  let calls = 0;
+  const { clock, close, running, send } = await startEntry(async () => {
+    calls += 1;
+    return results[calls - 1]!;
+  });
+  const refused: boolean[] = [];
+  for (const timeout of [500, 600, 700, 800]) {
+    const now = clock.monotonicMilliseconds();
+    const parent = { requestId: 'p', rank: 0, chargedAccount: undefined, isRepeat: false };
+    const tracked = running.add(parent, now, now + timeout);
+    test.notOk(tracked.isParent());
+    await send('/inner/1', { timeout: `${timeout}` });
+    test.ok(tracked.isParent());
+    refused.push(tracked.hasRefusedCall());
+    tracked.end();
+  }
+  test.same(refused, [false, false, true, true]);
+  close();
+});
+
+// Guards against runs in vain: the reports of serving nodes say that calls below them are refused.
+void t.test('calls are refused at their entry if calls below them lack room', async (test) => {
+  let runs = 0;
+  const { close, metrics, send, sendRepeatedly } = await startEntry(async (call) => {
+    if (call.route !== 'read') return answered();
+    runs += 1;
+    const answer = refuse('upstream-failed', 'ran');
+    return { answer, load: undefined, nestedShare: 0.1, isNestedRefused: true };
+  });
+  const sent = await sendRepeatedly();
+  test.ok(runs < sent / 2, `${runs} of ${sent} started`);
+  test.equal(await send('/confirm/1', { key: 'other-key' }), 200);
+  const text = await metrics.text();
+  test.match(text, /buckthornslip_early_refusal_routes 1/);
+  test.ok(text.includes(`buckthornslip_early_refusals_total{rank="3"} ${sent - runs}\n`), text);
+  close();
+});
+
 // Guards against nested calls of a repeated run that are taken for first attempts: the services below would get more repeats
 // than the fleet is allowed.
 void t.test('nested calls of a repeated run are repeats', async (test) => {
--- a/packages/sidecar/src/lib/entry/createEntry.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.ts
@@ -15,11 +15,12 @@
 import { createForwarder } from './createForwarder';
 import type { AcceptedRequest } from './AcceptedRequest';
 import { createRequestAcceptor } from './createRequestAcceptor';
-import { createRouteThrottle } from './createRouteThrottle';
+import { createEntryThrottle } from './createEntryThrottle';
 import type { EntryCall } from './EntryCall';
 import type { EntryOptions } from './EntryOptions';
 import type { ForwardResult } from './ForwardResult';
 import { computeRetryAfter } from './computeRetryAfter';
+import { isRefusedForRoom } from './isRefusedForRoom';
 import { writeRefusal } from './writeRefusal';
 
 /** Handles the requests of callers and of the local upstream. */
@@ -89,8 +90,8 @@
     random,
   } = options;
   const acceptor = createRequestAcceptor(options);
-  const forwarder = createForwarder(options);
-  const throttle = createRouteThrottle(clock, random);
+  const throttle = createEntryThrottle(options);
+  const forwarder = createForwarder(options, throttle);
   const pacer = createPiecePacer(clock);
   const uploadBudget = createBodyBudget(UPLOAD_BUDGET_BYTES);
   let running = 0;
@@ -108,10 +109,12 @@
     response: ServerResponse,
     refusal: Refusal,
     rank: number,
+    spreadMilliseconds?: number,
   ): number => {
     metrics.countRefusal(refusal.reason, refusal.outcome);
     if (response.destroyed) return 0;
-    const retryAfter = computeRetryAfter(random, rank, refusal.retryAfterMilliseconds);
+    const retryAfter =
+      spreadMilliseconds ?? computeRetryAfter(random, rank, refusal.retryAfterMilliseconds);
     return writeRefusal(response, refusal, retryAfter, endHeaders(request));
   };
 
@@ -123,16 +126,15 @@
     return { ...refuse(reason), retryAfterMilliseconds };
   };
 
-  const requestClassOf = ({ entry, rank }: AcceptedRequest): string =>
-    `${entry.route.name}/${rank}`;
-
   const forwardNested = async (
     { parent }: AcceptedRequest,
     call: EntryCall,
   ): Promise<ForwardResult> => {
+    parent?.countNestedCall();
     const result = await forwarder.forward(call);
     if (isSuccess(result.answer)) parent?.countFinishedCall();
     else if (result.isShed) parent?.recordShedCall();
+    else if (isRefusedForRoom(result)) parent?.recordRefusedCall();
     return result;
   };
 
@@ -142,15 +144,23 @@
     call: EntryCall,
   ): Promise<ForwardResult> => {
     if (accepted.isNested) return forwardNested(accepted, call);
-    const started = throttle.tryStart(requestClassOf(accepted));
-    if (!started) return notSent(refuse('priority-cutoff'));
+    const { rank, route, scope } = call.call;
+    const remainingMilliseconds = scope.remainingMilliseconds();
+    const decision = throttle.start({ route, rank, remainingMilliseconds });
+    if (decision.kind === 'throttled') return notSent(refuse('priority-cutoff'));
+    if (decision.kind === 'no-room') {
+      metrics.countEarlyRefusal(rank);
+      const { retryAfterMilliseconds: spreadMilliseconds } = decision;
+      return { ...notSent(refuse('priority-cutoff')), spreadMilliseconds };
+    }
     const result = await forwarder.forward(call);
     const { answer } = result;
     const isUnrelatedToLoad = answer.kind === 'refusal' && UNRELATED_TO_LOAD.has(answer.reason);
     // If upstreams refuse calls that their nodes have admitted, throttling would not let more of the others succeed.
     const showsOverload = !isUnrelatedToLoad && !result.isShed;
-    if (isSuccess(answer)) started.finish(true);
-    else if (showsOverload) started.finish(false);
+    const { isNestedRefused } = result;
+    if (isSuccess(answer)) decision.finish({ isSuccess: true });
+    else if (showsOverload) decision.finish({ isSuccess: false, isNestedRefused });
     return result;
   };
 
@@ -221,7 +231,8 @@
     result: ForwardResult,
   ): Promise<number> => {
     const { answer } = result;
-    if (answer.kind === 'refusal') return reject(request, response, answer, accepted.rank);
+    if (answer.kind === 'refusal')
+      return reject(request, response, answer, accepted.rank, result.spreadMilliseconds);
     await writeResponse(response, answer, endHeaders(request));
     return answer.status;
   };
@@ -268,6 +279,12 @@
     });
   };
 
+  metrics.addGauge(
+    'early_refusal_routes',
+    'Routes of which some calls are refused at this entry because calls below them lack room',
+    throttle.reducedRoutes,
+  );
+
   return {
     inProgress: () => running,
     handle: async (request, response) => {
--- a/packages/sidecar/src/lib/entry/createForwarder.ts
+++ b/packages/sidecar/src/lib/entry/createForwarder.ts
@@ -11,6 +11,7 @@
 import { createCallProgress } from './createCallProgress';
 import type { EntryCall } from './EntryCall';
 import type { EntryOptions } from './EntryOptions';
+import type { EntryThrottle } from './createEntryThrottle';
 import type { ForwardResult } from './ForwardResult';
 
 /** Forwards calls to serving nodes, with retries. */
@@ -56,10 +57,14 @@
  * Creates the forwarder of an entry node.
  *
  * @param options - Dependencies of the entry side.
+ * @param throttle - Gets the reports of the serving nodes.
  * @returns The forwarder.
  * @internal
  */
-export function createForwarder(options: EntryOptions): Forwarder {
+export function createForwarder(
+  options: EntryOptions,
+  throttle: Pick<EntryThrottle, 'recordAttempt'>,
+): Forwarder {
   const { clock, host, links, logger, metrics, refreshMember, retries, router, callServer } =
     options;
 
@@ -76,6 +81,7 @@
       transferredBytes: result.answer.kind === 'answer' ? result.answer.body.length : 0,
       load: result.load,
     });
+    throttle.recordAttempt(call, result);
     const { answer } = result;
     if (answer.kind === 'refusal' && STALE_STATE_REASONS.has(answer.reason))
       refreshMember(member.host);
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -33,6 +33,7 @@
 import { createLedgerPeers } from '../quota/createLedgerPeers';
 import { createRepeatLimit } from '../serving/createRepeatLimit';
 import { createRunningCalls } from '../serving/createRunningCalls';
+import { createNestedShares } from '../serving/createNestedShares';
 import { createInterruptedCalls } from '../serving/createInterruptedCalls';
 import { createStatedLimit } from '../serving/createStatedLimit';
 import { createSuspects } from '../serving/createSuspects';
@@ -310,6 +311,7 @@
     poolOf,
     protocol,
     running: runningCalls,
+    nestedShares: createNestedShares(clock),
     statedLimit,
     suspects,
     repeats: createRepeatLimit({
--- a/packages/sidecar/src/lib/process/createSidecarMetrics.ts
+++ b/packages/sidecar/src/lib/process/createSidecarMetrics.ts
@@ -13,6 +13,8 @@
 export interface SidecarMetrics {
   readonly countRefusal: (reason: RefusalReason, outcome: Outcome) => void;
   readonly countRetry: (reason: RetryReason) => void;
+  /** Counts a call refused at its entry because calls below it would lack room. */
+  readonly countEarlyRefusal: (rank: number) => void;
   readonly countPolicyFault: (kind: PolicyFaultKind) => void;
   /** @param milliseconds - Time from the arrival of the request to the end of the response. */
   readonly observeCall: (route: string, status: number, milliseconds: number) => void;
@@ -42,9 +44,16 @@
     labelNames: ['kind'],
     registers: [registry],
   });
+  const earlyRefusals = new Counter({
+    name: 'buckthornslip_early_refusals_total',
+    help: 'Calls refused at their entry because calls below them would lack room, by priority rank',
+    labelNames: ['rank'],
+    registers: [registry],
+  });
   return {
     countRefusal: metrics.countRefusal,
     countRetry: metrics.countRetry,
+    countEarlyRefusal: (rank) => earlyRefusals.inc({ rank }),
     countPolicyFault: (kind) => policyFaults.inc({ kind }),
     observeCall: (route, status, milliseconds) => {
       const statusClass = `${Math.floor(status / 100)}xx`;
--- a/packages/sidecar/src/lib/serving/createCallServer.ts
+++ b/packages/sidecar/src/lib/serving/createCallServer.ts
@@ -18,6 +18,7 @@
 import type { CallProtocol } from '../protocol/CallProtocol';
 import { isNotRunStatus } from '../protocol/isNotRunStatus';
 import type { ResponseHead } from '../protocol/ResponseHead';
+import type { NestedShares } from './createNestedShares';
 import type { RepeatLimit } from './createRepeatLimit';
 import { isSameStart } from './isSameStart';
 import type { RunningCalls } from './createRunningCalls';
@@ -37,6 +38,7 @@
   readonly poolOf: (address: string) => ConnectionPool;
   readonly protocol: CallProtocol;
   readonly running: RunningCalls;
+  readonly nestedShares: NestedShares;
   readonly repeats: RepeatLimit;
   readonly suspects: Pick<Suspects, 'check' | 'begin' | 'recordEnd'>;
   readonly logger: EventLogger;
@@ -113,7 +115,7 @@
  */
 export function createCallServer(options: CallServerOptions): CallServer {
   const { admission, clock, logger, poolOf, protocol, running, statedLimit, upstream } = options;
-  const { repeats, suspects } = options;
+  const { nestedShares, repeats, suspects } = options;
 
   const refuseByState = (
     call: CallAttempt,
@@ -259,7 +261,19 @@
         failure: result.kind === 'failed' ? result.failure : undefined,
       });
     }
-    return { answer, isShed: isShed(answer) || (hasFailed(answer) && tracked.hasShedCall()) };
+    const isFailed = hasFailed(answer);
+    const shed = isShed(answer) || (isFailed && tracked.hasShedCall());
+    // A run that failed for both reasons counts as shed, because less load would not have let it pass.
+    const isNestedRefused = isFailed && !shed && tracked.hasRefusedCall();
+    // A run that its caller gave up says nothing about room, unless it had already been refused some.
+    if (outcome !== 'cancelled' || isNestedRefused) {
+      nestedShares.record({
+        route: call.route,
+        isParent: tracked.isParent(),
+        isRefused: isNestedRefused,
+      });
+    }
+    return { answer, isShed: shed, isNestedRefused };
   };
 
   /** Counts a call that is about to be sent to the upstream. */
@@ -313,7 +327,7 @@
   return {
     serve: async (call) => {
       const served = await admit(call);
-      return { ...served, load: admission.load() };
+      return { ...served, load: admission.load(), nestedShare: nestedShares.shareOf(call.route) };
     },
   };
 }
--- a/packages/sidecar/src/lib/serving/createRunningCalls.ts
+++ b/packages/sidecar/src/lib/serving/createRunningCalls.ts
@@ -10,6 +10,10 @@
   readonly countFinishedCall: () => void;
   /** Records that a nested call failed because an upstream refused it. */
   readonly recordShedCall: () => void;
+  /** Records that a nested call is made. */
+  readonly countNestedCall: () => void;
+  /** Records that a nested call, or a call below it, was refused for lack of room. */
+  readonly recordRefusedCall: () => void;
 }
 
 /** A call that the upstream is running. */
@@ -18,6 +22,10 @@
   readonly end: () => void;
   /** @returns Whether a nested call failed because an upstream refused it. */
   readonly hasShedCall: () => boolean;
+  /** @returns Whether the call has made a nested call. */
+  readonly isParent: () => boolean;
+  /** @returns Whether a nested call, or a call below it, was refused for lack of room. */
+  readonly hasRefusedCall: () => boolean;
 }
 
 /** A call that the upstream makes while it is running other calls. */
@@ -58,7 +66,7 @@
 const START_TOLERANCE_MILLISECONDS = 12;
 
 interface RunningCall {
-  readonly call: RunningParent & Pick<TrackedCall, 'hasShedCall'>;
+  readonly call: RunningParent & Omit<TrackedCall, 'end'>;
   readonly startedMilliseconds: number;
   readonly deadlineMilliseconds: number;
 }
@@ -67,6 +75,8 @@
   const { chargedAccount, isRepeat, rank, requestId } = call;
   let finished = 0;
   let hasShedCall = false;
+  let isParent = false;
+  let hasRefusedCall = false;
   return {
     requestId,
     rank,
@@ -80,6 +90,14 @@
       hasShedCall = true;
     },
     hasShedCall: () => hasShedCall,
+    countNestedCall: () => {
+      isParent = true;
+    },
+    isParent: () => isParent,
+    recordRefusedCall: () => {
+      hasRefusedCall = true;
+    },
+    hasRefusedCall: () => hasRefusedCall,
   };
 }
 
@@ -126,6 +144,8 @@
           running.delete(entry);
         },
         hasShedCall: entry.call.hasShedCall,
+        isParent: entry.call.isParent,
+        hasRefusedCall: entry.call.hasRefusedCall,
       };
     },
     isEmpty: () => running.size === 0,
