--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -44,6 +44,7 @@
 import { createColdProbe } from '../serving/createColdProbe';
 import { createRepeatLimit } from '../serving/createRepeatLimit';
 import { createRunningCalls } from '../serving/createRunningCalls';
+import { createNestedShares } from '../serving/createNestedShares';
 import { createInterruptedCalls } from '../serving/createInterruptedCalls';
 import { createSlowUpstreamLog } from '../serving/createSlowUpstreamLog';
 import { createStatedLimit } from '../serving/createStatedLimit';
@@ -401,6 +402,7 @@
     poolOf,
     protocol,
     running: runningCalls,
+    nestedShares: createNestedShares(clock),
     statedLimit,
     suspects,
     costs,
--- a/packages/sidecar/src/lib/process/createSidecarMetrics.ts
+++ b/packages/sidecar/src/lib/process/createSidecarMetrics.ts
@@ -14,6 +14,8 @@
 export interface SidecarMetrics {
   readonly countRefusal: (reason: RefusalReason, outcome: Outcome) => void;
   readonly countRetry: (reason: RetryReason) => void;
+  /** Counts a call refused at its entry because calls below it would lack room. */
+  readonly countEarlyRefusal: (rank: number) => void;
   readonly countPolicyFault: (kind: PolicyFaultKind) => void;
   /** Counts the beginning of a limit because the upstream is cold. */
   readonly countColdLimit: (cause: ColdCause) => void;
@@ -57,9 +59,16 @@
     help: 'Restores of the store from a backup that this process has noticed',
     registers: [registry],
   });
+  const earlyRefusals = new Counter({
+    name: 'buckthornslip_early_refusals_total',
+    help: 'Calls refused at their entry because calls below them would lack room, by priority rank',
+    labelNames: ['rank'],
+    registers: [registry],
+  });
   return {
     countRefusal: metrics.countRefusal,
     countRetry: metrics.countRetry,
+    countEarlyRefusal: (rank) => earlyRefusals.inc({ rank }),
     countPolicyFault: (kind) => policyFaults.inc({ kind }),
     countColdLimit: (cause) => coldLimits.inc({ cause }),
     observeCall: (route, status, milliseconds) => {
--- a/packages/sidecar/src/lib/serving/createCallServer.ts
+++ b/packages/sidecar/src/lib/serving/createCallServer.ts
@@ -20,6 +20,7 @@
 import { isNotRunStatus } from '../protocol/isNotRunStatus';
 import type { ResponseHead } from '../protocol/ResponseHead';
 import type { CallCosts } from './createCallCosts';
+import type { NestedShares } from './createNestedShares';
 import type { RepeatLimit } from './createRepeatLimit';
 import { isSameStart } from './isSameStart';
 import type { RunningCalls } from './createRunningCalls';
@@ -40,6 +41,7 @@
   readonly poolOf: (address: string) => ConnectionPool;
   readonly protocol: CallProtocol;
   readonly running: RunningCalls;
+  readonly nestedShares: NestedShares;
   readonly repeats: RepeatLimit;
   readonly suspects: Pick<Suspects, 'check' | 'begin' | 'recordEnd'>;
   /** Costs of calls; undefined if calls are not placed by expected work. */
@@ -131,7 +133,7 @@
  */
 export function createCallServer(options: CallServerOptions): CallServer {
   const { admission, clock, logger, poolOf, protocol, running, statedLimit, upstream } = options;
-  const { costs, gate, recordSpeed, repeats, suspects } = options;
+  const { costs, gate, nestedShares, recordSpeed, repeats, suspects } = options;
 
   const refuseByState = (
     call: CallAttempt,
@@ -295,11 +297,19 @@
         failure: result.kind === 'failed' ? result.failure : undefined,
       });
     }
-    return {
-      answer,
-      isShed: isShed(answer) || (hasFailed(answer) && tracked.hasShedCall()),
-      serviceMilliseconds,
-    };
+    const isFailed = hasFailed(answer);
+    const shed = isShed(answer) || (isFailed && tracked.hasShedCall());
+    // A run that failed for both reasons counts as shed, because less load would not have let it pass.
+    const isNestedRefused = isFailed && !shed && tracked.hasRefusedCall();
+    // A run that its caller gave up says nothing about room, unless it had already been refused some.
+    if (outcome !== 'cancelled' || isNestedRefused) {
+      nestedShares.record({
+        route: call.route,
+        isParent: tracked.isParent(),
+        isRefused: isNestedRefused,
+      });
+    }
+    return { answer, isShed: shed, isNestedRefused, serviceMilliseconds };
   };
 
   /** Counts a call that is about to be sent to the upstream. */
@@ -362,7 +372,7 @@
       const served = await admit(call);
       const load = admission.load();
       recordSpeed(load.speed);
-      return { ...served, load };
+      return { ...served, load, nestedShare: nestedShares.shareOf(call.route) };
     },
   };
 }
--- a/packages/sidecar/src/lib/serving/evacuatedQueue.test.ts
+++ b/packages/sidecar/src/lib/serving/evacuatedQueue.test.ts
@@ -13,6 +13,7 @@
 import { createConnectionPool } from '../http/createConnectionPool';
 import type { CallAttempt } from './CallAttempt';
 import { createCallServer } from './createCallServer';
+import { createNestedShares } from './createNestedShares';
 import { createRunningCalls } from './createRunningCalls';
 import type { UpstreamInstance } from './UpstreamInstance';
 import type { UpstreamRegistry, UpstreamView } from './UpstreamRegistry';
@@ -76,6 +77,7 @@
       reservedNames: new Set(),
     },
     running: createRunningCalls(),
+    nestedShares: createNestedShares(clock),
     repeats: { countFirstAttempt: () => undefined, tryRepeat: () => true },
     suspects: {
       check: () => undefined,
