--- a/tools/buildSidecar.mjs
+++ b/tools/buildSidecar.mjs
@@ -1,4 +1,6 @@
-// Bundles the sidecar for the users' platform into target/.
+// Bundles the sidecar for the users' platform into target/, or into the file that is named.
 import { bundle } from './bundle.mjs';
 
-await bundle('platform/src/main.ts', 'target/buckthornslip-sidecar.mjs');
+const [, , outfile = 'target/buckthornslip-sidecar.mjs'] = process.argv;
+
+await bundle('platform/src/main.ts', outfile);
