sidecar: limits on what callers make a node read, keep and leave unread

Cause: Node.js passes each read of up to 64 KiB to its HTTP parser as a whole, which creates a request, a response and a call for each request in it, and a buffer for each chunk of a body. It pauses a connection only for written responses that wait, and only after the read. When a connection closes, only its first response learns of it, so that calls behind it were counted for ever and kept their part of the upload buffer.

Settings in the table [callers], counter buckthornslip_limited_connections_total, event 7504 (one line in 10 s for each reason).

--- a/packages/sidecar/src/index.ts
+++ b/packages/sidecar/src/index.ts
@@ -23,3 +23,6 @@
 export { exchange } from './lib/http/exchange';
 export type { ExchangeFailure, ExchangeResult } from './lib/http/ExchangeResult';
 export { listenAt } from './lib/http/listenAt';
+export type { ConnectionLimits } from './lib/http/connections/ConnectionLimits';
+export { defaultConnectionLimits } from './lib/http/connections/defaultConnectionLimits';
+export { guardConnections } from './lib/http/connections/guardConnections';
--- a/packages/sidecar/src/lib/entry/EntryOptions.ts
+++ b/packages/sidecar/src/lib/entry/EntryOptions.ts
@@ -40,6 +40,8 @@
   /** Service of the local upstream, from which all requests at this entry come. */
   readonly callerService: ServiceId;
   readonly links: PeerLinks;
+  /** Most bytes of uploads that are kept whole; further uploads are streamed. */
+  readonly uploadBytes: number;
   /** @returns Whether the node is stopping, so that callers should not reuse their connections. */
   readonly isStopping: () => boolean;
   /** @returns Whether the shutdown has reached the phase in which only calls of the local upstream are accepted. */
--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -125,6 +125,7 @@
       hasOpen: () => false,
       close: () => undefined,
     },
+    uploadBytes: 33_554_432,
     isStopping: () => refusesCallers,
     refusesCallers: () => refusesCallers,
   });
--- a/packages/sidecar/src/lib/entry/createEntry.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.ts
@@ -37,9 +37,6 @@
  */
 const BUFFERED_UPLOAD_BYTES = 524_288;
 
-/** Memory of buffered uploads, in bytes; the smallest machines have 250 MB. Further uploads are streamed. */
-const UPLOAD_BUDGET_BYTES = 33_554_432;
-
 /**
  * Longest time for which a request waits for the first policy after a start, in milliseconds. The store usually answers within
  * a fraction of it, and a caller that is refused comes back only once.
@@ -90,7 +87,7 @@
   const forwarder = createForwarder(options);
   const throttle = createRouteThrottle(clock, random);
   const pacer = createPiecePacer(clock);
-  const uploadBudget = createBodyBudget(UPLOAD_BUDGET_BYTES);
+  const uploadBudget = createBodyBudget(options.uploadBytes);
   let running = 0;
 
   const connectionHeaders = (): string[] => (isStopping() ? ['Connection', 'close'] : []);
--- a/packages/sidecar/src/lib/process/SidecarOptions.ts
+++ b/packages/sidecar/src/lib/process/SidecarOptions.ts
@@ -12,6 +12,7 @@
 import type { Store } from '@buckthornslip/platform';
 import type { EventLogger } from '@buckthornslip/telemetry';
 
+import type { ConnectionLimits } from '../http/connections/ConnectionLimits';
 import type { PolicyError } from '../policy/createPolicyWatcher';
 import type { CallProtocol } from '../protocol/CallProtocol';
 import type { FleetRetrySettings } from '../serving/FleetRetrySettings';
@@ -34,6 +35,8 @@
     /** "address:port" for calls and messages of other nodes. */
     readonly peers: string;
   };
+  /** Limits that protect the listener for callers. */
+  readonly connectionLimits: ConnectionLimits;
   /** Expected interval between announcements of the upstream, in milliseconds. */
   readonly announcementMilliseconds: number;
   /** Whether the whole system is starting for the first time. */
--- a/packages/sidecar/src/lib/process/createCallerListener.test.ts
+++ b/packages/sidecar/src/lib/process/createCallerListener.test.ts
@@ -1,10 +1,13 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Agent, request as httpRequest } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { splitAddress } from '@buckthornslip/calls';
+import { createSystemClock } from '@buckthornslip/common';
 import { createSilentLogger } from '@buckthornslip/telemetry';
 import t from 'tap';
 
+import { defaultConnectionLimits } from '../http/connections/defaultConnectionLimits';
 import { reserveAddress } from '../testing/reserveAddress';
 import { createCallerListener } from './createCallerListener';
 
@@ -23,9 +26,13 @@
 void t.test(
   'a request on an open connection is answered after the listener closed',
   async (test) => {
-    const listener = createCallerListener(createSilentLogger(), (_request, response) => {
+    const handle = (_request: IncomingMessage, response: ServerResponse): Promise<void> => {
       response.end('done');
       return Promise.resolve();
+    };
+    const listener = createCallerListener(createSilentLogger(), handle, {
+      clock: createSystemClock(),
+      limits: defaultConnectionLimits,
     });
     const agent = new Agent({ keepAlive: true, maxSockets: 1 });
     test.teardown(() => {
--- a/packages/sidecar/src/lib/process/createCallerListener.ts
+++ b/packages/sidecar/src/lib/process/createCallerListener.ts
@@ -5,6 +5,8 @@
 import type { RequestLimits } from '@buckthornslip/config';
 import type { EventLogger } from '@buckthornslip/telemetry';
 
+import type { ConnectionGuardOptions } from '../http/connections/guardConnections';
+import { guardConnections } from '../http/connections/guardConnections';
 import { listenAt } from '../http/listenAt';
 
 const UNKNOWN_OUTCOME_STATUS = 502;
@@ -47,10 +49,15 @@
  *
  * @param logger - Logger.
  * @param handle - Handles one request.
+ * @param guard - Limits that protect the listener from its callers.
  * @returns A listener that is not listening yet.
  * @internal
  */
-export function createCallerListener(logger: EventLogger, handle: Handler): CallerListener {
+export function createCallerListener(
+  logger: EventLogger,
+  handle: Handler,
+  guard: Omit<ConnectionGuardOptions, 'listener' | 'logger'>,
+): CallerListener {
   const server = createServer(
     {
       noDelay: true,
@@ -64,6 +71,7 @@
       });
     },
   );
+  guardConnections(server, { ...guard, logger, listener: 'callers' });
   return {
     listen: (address) => listenAt(server, address),
     apply: ({ headMilliseconds, idleMilliseconds }) => {
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -326,11 +326,16 @@
     host,
     callerService: service,
     links,
+    uploadBytes: options.connectionLimits.uploadBytes,
     isStopping: () => isStopping,
     refusesCallers: () => refusesCallers,
   });
 
-  const callers = createCallerListener(logger, entry.handle);
+  const callers = createCallerListener(logger, entry.handle, {
+    clock,
+    limits: options.connectionLimits,
+    count: (reason) => metrics.countLimitedConnection('callers', reason),
+  });
   function applyPolicy(next: CallPolicy): void {
     routes = createRouteTable(next, random);
     priorityRanks = createPriorityRanks(next);
--- a/packages/sidecar/src/lib/process/createSidecarMetrics.ts
+++ b/packages/sidecar/src/lib/process/createSidecarMetrics.ts
@@ -1,6 +1,6 @@
 import type { Outcome, RefusalReason, RetryReason } from '@buckthornslip/common';
 import { createMetrics } from '@buckthornslip/telemetry';
-import { Gauge, Histogram } from 'prom-client';
+import { Counter, Gauge, Histogram } from 'prom-client';
 
 /** Upper bounds of the latency histogram, in seconds. */
 const LATENCY_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8];
@@ -13,6 +13,8 @@
   readonly countRetry: (reason: RetryReason) => void;
   /** @param milliseconds - Time from the arrival of the request to the end of the response. */
   readonly observeCall: (route: string, status: number, milliseconds: number) => void;
+  /** Counts a connection that a limit has held or closed. */
+  readonly countLimitedConnection: (listener: string, reason: string) => void;
   /** Adds a gauge that is read when the metrics are scraped; its name gets the project's prefix. */
   readonly addGauge: (name: string, help: string, read: () => number) => void;
   /** @returns All metrics in the Prometheus text format. */
@@ -33,7 +35,14 @@
     buckets: LATENCY_SECONDS,
     registers: [registry],
   });
+  const limitedConnections = new Counter({
+    name: 'buckthornslip_limited_connections_total',
+    help: 'Connections that a limit has held or closed, by listener and reason',
+    labelNames: ['listener', 'reason'],
+    registers: [registry],
+  });
   return {
+    countLimitedConnection: (listener, reason) => limitedConnections.inc({ listener, reason }),
     countRefusal: metrics.countRefusal,
     countRetry: metrics.countRetry,
     observeCall: (route, status, milliseconds) => {
--- a/packages/telemetry/src/lib/events/sidecarEvents.ts
+++ b/packages/telemetry/src/lib/events/sidecarEvents.ts
@@ -170,4 +170,10 @@
     level: 'warn',
     message: 'timers ran late, because the process had too much work or too little processor time',
   },
+  connectionLimited: {
+    number: 7504,
+    level: 'warn',
+    message: 'connection of a caller held or closed by a limit',
+    action: 'Compare the limits for callers in OPERATIONS.md.',
+  },
 } as const satisfies Record<string, EventDefinition>;
