sidecar: kept bytes and uploads fit into the memory of the smallest host

Buffered uploads took 32 MiB, kept bytes as many, and parts of bodies on their way to another node were not counted.

Change: the defaults are 16 MiB for uploads and 24 MiB for kept bytes, and the count includes what other nodes have not read.

--- a/packages/sidecar/src/lib/http/connections/defaultConnectionLimits.ts
+++ b/packages/sidecar/src/lib/http/connections/defaultConnectionLimits.ts
@@ -9,8 +9,8 @@
 export const defaultConnectionLimits: ConnectionLimits = {
   requestsAhead: 4,
   requests: 4_096,
-  keptBytes: 33_554_432,
-  uploadBytes: 33_554_432,
+  keptBytes: 25_165_824,
+  uploadBytes: 16_777_216,
   connections: 2_048,
   stallMilliseconds: 60_000,
 };
--- a/packages/sidecar/src/lib/http/connections/guardConnections.ts
+++ b/packages/sidecar/src/lib/http/connections/guardConnections.ts
@@ -59,8 +59,11 @@
 /** Interval between log lines of one reason, in milliseconds. */
 const LOG_MILLISECONDS = 10_000;
 
-/** Part of an unfinished body that is counted, in bytes. Longer ones are passed on, and buffered uploads have their own limit. */
-const BUFFERED_BODY_BYTES = 65_536;
+/**
+ * Part of an unfinished body that is counted, in bytes: what is buffered, and what is sent to another node before that node has
+ * read it. Buffered uploads have their own limit.
+ */
+const COUNTED_BODY_BYTES = 65_536 + 262_144;
 
 /** Bytes of a long response that arrive from another node before they are read. */
 const RESPONSE_CREDIT_BYTES = 262_144;
@@ -88,7 +91,7 @@
 
 function keptBytes(connection: Connection): number {
   const { gate } = connection;
-  const bodyBytes = Math.min(gate.bodyBytes(), BUFFERED_BODY_BYTES);
+  const bodyBytes = Math.min(gate.bodyBytes(), COUNTED_BODY_BYTES);
   return gate.waitingBytes() + unsentBytes(connection) + bodyBytes;
 }
 
@@ -162,10 +165,16 @@
     if (!isPressed) return;
     const isOverfull = total > 2 * limits.keptBytes;
     const stall = isOverfull ? OVERFULL_STALL_MILLISECONDS : PRESSED_STALL_MILLISECONDS;
-    kept.sort((left, right) => stalledFor(right.connection) - stalledFor(left.connection));
+    const isClosable = (connection: Connection): boolean =>
+      stalledFor(connection) >= stall && (isOverfull || isStalled(connection));
+    kept.sort(
+      (left, right) =>
+        Number(isStalled(right.connection)) - Number(isStalled(left.connection)) ||
+        stalledFor(right.connection) - stalledFor(left.connection),
+    );
     for (const { bytes, connection } of kept) {
-      if (total <= limits.keptBytes || stalledFor(connection) < stall) return;
-      if (bytes > 0) {
+      if (total <= limits.keptBytes) return;
+      if (bytes > 0 && isClosable(connection)) {
         total -= bytes;
         close(connection, 'kept-bytes');
       }
