--- a/packages/sidecar/src/lib/http/connections/guardConnections.test.ts
+++ b/packages/sidecar/src/lib/http/connections/guardConnections.test.ts
@@ -262,3 +262,43 @@
   socket.destroy();
   test.ok(await until(() => closed === 3), `${closed} of ${begun}`);
 });
+
+// Guards against defaults that callers within their limits meet.
+void t.test('many callers with one request each meet no limit', async (test) => {
+  const { open, reasons } = await start(test, (request, response) => {
+    void readBody(request).then((body) => response.end(`<${body.length}>`));
+  });
+  const callers = await Promise.all(Array.from({ length: 400 }, open));
+  const body = 'x'.repeat(50_000);
+  const post = `POST / HTTP/1.1\r\nHost: h\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+  for (let round = 1; round <= 2; round += 1) {
+    callers.forEach(({ socket }) => socket.write(post));
+    const isAnswered = await until(() =>
+      callers.every(({ text }) => text().split(`<${body.length}>`).length === round + 1),
+    );
+    test.ok(isAnswered, `round ${round}`);
+    // The connections are idle for a while and used again.
+    await sleep(1_000);
+  }
+  test.same(reasons, []);
+});
+
+// Guards against a gate that goes on after the parser has failed or has been detached from the connection.
+void t.test('malformed requests end their connection only', async (test) => {
+  const { open } = await start(test, (_request, response) => response.end('served'));
+  const starts = [
+    'garbage\r\n\r\n',
+    'CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n',
+    'GET / HTTP/9\r\n\r\n',
+  ];
+  for (const begin of starts) {
+    const { isClosed, socket, text } = await open();
+    socket.write(begin + get('/').repeat(2_000));
+    test.ok(await until(isClosed), begin);
+    test.ok(text().split('HTTP/1.1 400').length <= 2, text().slice(0, 200));
+    test.notMatch(text(), 'served');
+  }
+  const { socket, text } = await open();
+  socket.write(get('/'));
+  test.ok(await until(() => text().includes('served')));
+});
