--- a/packages/sidecar/src/lib/process/createSidecarMetrics.ts
+++ b/packages/sidecar/src/lib/process/createSidecarMetrics.ts
@@ -22,6 +22,8 @@
   /** @param milliseconds - Time from the arrival of the request to the end of the response. */
   readonly observeCall: (route: string, status: number, milliseconds: number) => void;
   readonly countStoreRestore: () => void;
+  /** Counts a connection that a limit has held or closed. */
+  readonly countLimitedConnection: (listener: string, reason: string) => void;
   /** Adds a gauge that is read when the metrics are scraped; its name gets the project's prefix. */
   readonly addGauge: (name: string, help: string, read: () => number) => void;
   /** @returns All metrics in the Prometheus text format. */
@@ -65,7 +67,14 @@
     labelNames: ['rank'],
     registers: [registry],
   });
+  const limitedConnections = new Counter({
+    name: 'buckthornslip_limited_connections_total',
+    help: 'Connections that a limit has held or closed, by listener and reason',
+    labelNames: ['listener', 'reason'],
+    registers: [registry],
+  });
   return {
+    countLimitedConnection: (listener, reason) => limitedConnections.inc({ listener, reason }),
     countRefusal: metrics.countRefusal,
     countRetry: metrics.countRetry,
     countEarlyRefusal: (rank) => earlyRefusals.inc({ rank }),
