sidecar: an older policy in the store does not confirm one from another node

Cause: whether the store has an older policy was decided when it was read. A node that started after a restore, read the older one and then got the newer one from another node let the store confirm it. The new check failed with an age of 10 ms instead of Infinity. Change: the revision in the store is kept and compared each time the store confirms.

--- a/packages/sidecar/src/lib/policy/createPolicyWatcher.test.ts
+++ b/packages/sidecar/src/lib/policy/createPolicyWatcher.test.ts
@@ -97,3 +97,17 @@
   test.same(watcher.knowledge(), { revision: 5, ageMilliseconds: 0 });
   watcher.close();
 });
+
+// Guards against a node that starts after a restore, reads the older policy, and lets it confirm the newer one of another node.
+void t.test('an older policy in the store does not confirm one of another node', async (test) => {
+  const { clock, store, watcher } = createWatcher();
+  await store.compareAndSwap(KEY, 0, Buffer.of(3));
+  watcher.setFollowing(true);
+  await clock.advance(10);
+  watcher.offer(Buffer.of(4), 'another node');
+  store.faults.setDown(true);
+  store.faults.setDown(false);
+  await clock.advance(10);
+  test.equal(watcher.ageMilliseconds(), Infinity);
+  watcher.close();
+});
--- a/packages/sidecar/src/lib/policy/createPolicyWatcher.ts
+++ b/packages/sidecar/src/lib/policy/createPolicyWatcher.ts
@@ -77,8 +77,10 @@
   let run = 0;
   /** The newest revision that is known, and the last time at which it was known to be the newest in the store. */
   let newest = { revision: 0, confirmed: NEVER, era: store.era() };
-  /** Whether the store was last seen with an older policy than the current one, or without any after a restore. */
-  let isOlderInStore = false;
+  /** Revision of the policy that the store has; undefined if that can't be told, or says nothing about the current one. */
+  let storedRevision: number | undefined;
+  /** The older revision of which the log already tells. */
+  let loggedRevision: number | undefined;
   /** Era in which the store was last seen with a policy or without one. */
   let seenEra: StoreEra | undefined;
 
@@ -105,34 +107,47 @@
     return next.revision;
   };
 
-  /** A restored store may have an older policy, which must not confirm the current one as the newest. */
-  const setStored = (revision: number, era: StoreEra): void => {
+  const setStored = (revision: number | undefined, era: StoreEra): void => {
     seenEra = era;
-    const isOlder = revision < currentRevision();
-    if (isOlder && !isOlderInStore) {
-      logger.log('policyOlderInStore', { revision, current: currentRevision(), era });
-    }
-    isOlderInStore = isOlder;
+    storedRevision = revision;
   };
 
   const applyEntry = (entry: StoreEntry): void => {
-    if (entry.key !== key) return;
-    const revision = apply(entry.value, 'store');
-    setStored(revision ?? currentRevision(), entry.era);
+    if (entry.key === key) setStored(apply(entry.value, 'store'), entry.era);
   };
 
   /** A store that was never restored has lost nothing: without the policy, it has been removed, and stays in force. */
   const applyAbsence = (era: StoreEra): void => {
-    setStored(era === NO_STORE_ERA ? currentRevision() : 0, era);
+    setStored(era === NO_STORE_ERA ? undefined : 0, era);
   };
 
   const ageMilliseconds = (): number =>
     newest.revision === currentRevision() ? elapsedSince(clock, newest.confirmed) : Infinity;
 
-  /** The store has just said which policy it has. It confirms the current one unless it has lost it, or a newer one, in a restore. */
+  const isOlderInStore = (): boolean => {
+    if (storedRevision === undefined || storedRevision >= currentRevision()) {
+      loggedRevision = undefined;
+      return false;
+    }
+    if (storedRevision !== loggedRevision) {
+      const era = store.era();
+      logger.log('policyOlderInStore', {
+        revision: storedRevision,
+        current: currentRevision(),
+        era,
+      });
+    }
+    loggedRevision = storedRevision;
+    return true;
+  };
+
+  /**
+   * The store has just said which policy it has. That confirms the current one, unless the store has an older one, or has lost a newer
+   * one in a restore.
+   */
   const confirm = (): void => {
     const hasLostNewer = newest.revision > currentRevision() && newest.era < store.era();
-    if (isOlderInStore || hasLostNewer) return;
+    if (isOlderInStore() || hasLostNewer) return;
     newest = { revision: currentRevision(), confirmed: instantOf(clock, 0), era: store.era() };
   };
 
