--- a/packages/sidecar/src/lib/serving/createCallServer.test.ts
+++ b/packages/sidecar/src/lib/serving/createCallServer.test.ts
@@ -71,6 +71,13 @@
       close: ignore,
     },
     statedLimit: { record: ignore, startInstance: ignore },
+    gate: {
+      permission: () => 'allowed',
+      refusal: () => undefined,
+      whenKnown: () => Promise.resolve(),
+    },
+    costs: undefined,
+    recordSpeed: ignore,
     poolOf: () => pool,
     protocol: {
       readRequest: () => ({ requestId: undefined, key: undefined, timeoutMilliseconds: undefined }),
@@ -81,6 +88,7 @@
         limitPerSecond: undefined,
         isLeaving: false,
       }),
+      readHealth: () => ({ upstream: undefined, coldMilliseconds: undefined }),
       writeUpstreamHeaders: () => ['Host', 'calls.example'],
       reservedNames: new Set(),
     },
