sidecar: requests are withheld until their connection is open

Cause: exchange() asked maySend when a request got a socket, also one that was still connecting (up to 400 ms to an upstream). A request whose connection opened after the order to evacuate the zone was sent. The health request of the cold probe did not ask at all, and may wait for a connection for up to 1 s. Change: maySend is asked again when the connection opens, before Node.js writes the request. The health request asks it as well.

--- a/packages/sidecar/src/lib/http/ExchangeRequest.ts
+++ b/packages/sidecar/src/lib/http/ExchangeRequest.ts
@@ -20,7 +20,7 @@
   readonly body: RequestBody;
   readonly scope: CallScope;
   /**
-   * @returns Whether the request may be sent now. Asked when it gets a connection, for which it may have waited.
+   * @returns Whether the request may be sent now. Asked when it gets an open connection, for which it may have waited.
    */
   readonly maySend?: () => boolean;
   /** @returns Whether the response belongs to this request. */
--- a/packages/sidecar/src/lib/http/exchange.test.ts
+++ b/packages/sidecar/src/lib/http/exchange.test.ts
@@ -497,3 +497,26 @@
     test.equal(received, 2);
   });
 });
+
+// Guards against a request that is sent when its connection opens, although its node was told meanwhile not to send any more.
+void t.test('a request is withheld if that changes while its connection opens', async (test) => {
+  let received = 0;
+  const answer = (socket: Socket): void => {
+    received += 1;
+    socket.write(FRAMED);
+  };
+  await withServer(answer, async (get, pool) => {
+    const scope = createCallScope(clock, 1_000);
+    let isAllowed = true;
+    const exchanged = exchange({ ...ANY_RESPONSE, pool, scope, maySend: () => isAllowed });
+    // The request has its connection by then, but the connection opens later.
+    process.nextTick(() => {
+      isAllowed = false;
+    });
+    const result = await exchanged;
+    scope.end();
+    test.same(result, { kind: 'failed', failure: 'withheld', sent: false });
+    test.equal((await get()).kind, 'whole');
+    test.equal(received, 1);
+  });
+});
--- a/packages/sidecar/src/lib/http/exchange.ts
+++ b/packages/sidecar/src/lib/http/exchange.ts
@@ -140,19 +140,21 @@
       listen();
     };
 
+    const sendUnlessWithheld = (): void => {
+      if (options.maySend?.() === false) fail('withheld');
+      else isSent = true;
+    };
+
     request.once('socket', (socket: Socket) => {
-      if (options.maySend?.() === false) {
-        fail('withheld');
-        return;
-      }
       if (!socket.connecting) {
-        isSent = true;
+        sendUnlessWithheld();
         return;
       }
       connectTimer = setTimeout(failConnection, pool.connectMilliseconds);
+      // Precedes the listener with which Node.js writes the request, because that is added with the first bytes.
       socket.once('connect', () => {
         clearTimeout(connectTimer);
-        isSent = true;
+        if (!isSettled) sendUnlessWithheld();
       });
     });
     request.on('information', () => {
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -343,17 +343,19 @@
     settings: sidecarRouterSettings,
   });
   const poolOf = upstreamConnectionPools.get;
+  const mayAskUpstream = (): boolean => !isDraining && gate.refusal() === undefined;
   const coldProbe = createColdProbe({
     clock,
     logger,
     admission,
     upstream,
     limit: coldLimit,
-    mayAsk: () => !isDraining && gate.refusal() === undefined,
+    mayAsk: mayAskUpstream,
     request: async (instance) => {
       const path = policy.current()?.services.get(service)?.healthPath;
       if (path === undefined) return undefined;
-      return requestHealth({ clock, protocol, instance, path, pool: poolOf(instance.address) });
+      const pool = poolOf(instance.address);
+      return requestHealth({ clock, protocol, instance, path, pool, maySend: mayAskUpstream });
     },
   });
   const suspects = createSuspects({
--- a/packages/sidecar/src/lib/serving/createColdProbe.test.ts
+++ b/packages/sidecar/src/lib/serving/createColdProbe.test.ts
@@ -139,6 +139,7 @@
       },
       instance: { ...instance, address },
       path: '/health',
+      maySend: () => true,
     });
   test.equal(await ask(), 700);
   respond = (_request, response) => response.writeHead(200, { id: 'i-2', cold: '700' }).end();
@@ -150,3 +151,38 @@
   respond = () => undefined;
   test.equal(await ask(), undefined);
 });
+
+// Guards against a health request that reaches the upstream of a zone whose evacuation is ordered while it waits for a connection.
+void t.test(
+  'a health request is withheld if the upstream may not be asked any more',
+  async (test) => {
+    let received = 0;
+    const server = createServer((_request, response) => {
+      received += 1;
+      response.end();
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const clock = createSystemClock();
+    const { instance } = createColdFixture();
+    const limits = { idleMilliseconds: 1_000, connectMilliseconds: 400, maximumConnections: 1 };
+    const pools = createConnectionPools(clock, () => limits);
+    test.teardown(() => {
+      pools.close();
+      server.close();
+      server.closeAllConnections();
+    });
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    const stated = await requestHealth({
+      clock,
+      pool: pools.get(address),
+      protocol: { readHealth: () => ({ upstream: instance.id, coldMilliseconds: 700 }) },
+      instance: { ...instance, address },
+      path: '/health',
+      maySend: () => false,
+    });
+    test.equal(stated, undefined);
+    test.equal(received, 0);
+  },
+);
--- a/packages/sidecar/src/lib/serving/requestHealth.ts
+++ b/packages/sidecar/src/lib/serving/requestHealth.ts
@@ -18,6 +18,8 @@
   readonly protocol: Pick<CallProtocol, 'readHealth'>;
   readonly instance: UpstreamInstance;
   readonly path: string;
+  /** @returns Whether the request may be sent now. Asked when it gets an open connection, for which it may have waited. */
+  readonly maySend: () => boolean;
 }
 
 /**
@@ -28,7 +30,7 @@
  * @internal
  */
 export async function requestHealth(request: HealthRequest): Promise<number | undefined> {
-  const { clock, instance, path, pool, protocol } = request;
+  const { clock, instance, maySend, path, pool, protocol } = request;
   const scope = createCallScope(clock, TIMEOUT_MILLISECONDS);
   let coldMilliseconds: number | undefined;
   const result = await exchange({
@@ -38,6 +40,7 @@
     headers: ['Host', instance.address],
     body: EMPTY_BODY,
     scope,
+    maySend,
     isExpectedResponse: ({ headers }) => {
       const head = protocol.readHealth(headers);
       coldMilliseconds = head.coldMilliseconds;
