sidecar: a late listing does not replace what the store has said since

Cause: a node that reads the operator's keys once (refresh) and then begins to follow the store has two listings under way. If the first one arrives last, the policy watcher took its older policy for the one in the store, so no poll confirmed the policy in force until the next change, and the age of the policy grew. Change: a listing that is older, by era and revision, than what the store has said since is ignored.

--- a/packages/sidecar/src/lib/policy/createPolicyWatcher.test.ts
+++ b/packages/sidecar/src/lib/policy/createPolicyWatcher.test.ts
@@ -123,3 +123,32 @@
   test.equal(watcher.ageMilliseconds(), Infinity);
   watcher.close();
 });
+
+// Guards against a listing that is delayed and hides, until the next policy, that the store confirms the current one.
+void t.test('a late listing does not replace what the store has said since', async (test) => {
+  const { clock, store, watcher } = createWatcher();
+  await store.compareAndSwap(KEY, 0, Buffer.of(3));
+  const { list } = store;
+  let isDelayed = true;
+  Object.assign(store, {
+    list: async (prefix: string) => {
+      const delayMilliseconds = isDelayed ? 500 : 0;
+      isDelayed = false;
+      const result = await list(prefix);
+      await clock.sleep(delayMilliseconds);
+      return result;
+    },
+  });
+  watcher.refresh();
+  await clock.advance(10);
+  watcher.setFollowing(true);
+  await clock.advance(10);
+  const current = await store.get(KEY);
+  await store.compareAndSwap(KEY, (current.ok && current.value?.revision) || 0, Buffer.of(4));
+  await clock.advance(600);
+  store.faults.setDown(true);
+  store.faults.setDown(false);
+  await clock.advance(10);
+  test.same(watcher.knowledge(), { revision: 4, ageMilliseconds: 10 });
+  watcher.close();
+});
--- a/packages/sidecar/src/lib/policy/createPolicyWatcher.ts
+++ b/packages/sidecar/src/lib/policy/createPolicyWatcher.ts
@@ -14,6 +14,7 @@
 
 import type { DecodedPolicy } from './DecodedPolicy';
 import type { PolicyFaultReporter } from './createPolicyFaultReporter';
+import { compareStatements } from '../evacuation/compareStatements';
 import type { EvacuationOrders } from '../evacuation/EvacuationOrders';
 import type { PolicyKnowledge } from './PolicyKnowledge';
 import type { PolicyWatcher } from './PolicyWatcher';
@@ -99,8 +100,8 @@
   let storedRevision: number | undefined;
   /** The older revision of which the log already tells. */
   let loggedRevision: number | undefined;
-  /** Era in which the store was last seen with a policy or without one. */
-  let seenEra: StoreEra | undefined;
+  /** Era and revision at which the store was last seen with a policy or without one. */
+  let seen: { readonly era: StoreEra; readonly revision: number } | undefined;
 
   const currentRevision = (): number => policy?.revision ?? 0;
 
@@ -126,23 +127,19 @@
     return next.revision;
   };
 
-  const setStored = (revision: number | undefined, era: StoreEra): void => {
-    seenEra = era;
-    storedRevision = revision;
-  };
-
   const applyEntry = (entry: StoreEntry): void => {
-    if (entry.key === key) setStored(apply(entry.value, 'store'), entry.era);
+    if (entry.key !== key) return;
+    storedRevision = apply(entry.value, 'store');
+    seen = { era: entry.era, revision: entry.revision };
   };
 
-  /** A store that was never restored has lost nothing: without the policy, it has been removed, and stays in force. */
-  const applyAbsence = (era: StoreEra): void => {
-    setStored(era === NO_STORE_ERA ? undefined : 0, era);
-  };
-
-  const applyListing = ({ entries, era }: Pick<StoreListing, 'entries' | 'era'>): void => {
+  const applyListing = ({ entries, era, revision }: StoreListing): void => {
     entries.forEach(applyEntry);
-    if (!entries.some((entry) => entry.key === key)) applyAbsence(era);
+    // A store that was never restored has lost nothing: without the policy, it has been removed, and stays in force.
+    if (!entries.some((entry) => entry.key === key)) {
+      storedRevision = era === NO_STORE_ERA ? undefined : 0;
+    }
+    seen = { era, revision };
   };
 
   const ageMilliseconds = (): number =>
@@ -208,17 +205,21 @@
     connected: ({ era }) => {
       setReachable(true);
       // In a new era, the listing that follows says which policy the store has.
-      if (era === seenEra) confirm();
+      if (era === seen?.era) confirm();
     },
     disconnected: () => setReachable(false),
   };
 
   const read = async (): Promise<Result<StoreListing, StoreError>> => {
     const before = evacuations.statement();
+    const seenBefore = seen;
     const result = await store.list(prefix);
     if (isClosed || !result.ok) return result;
     // The orders come first: a node serves as soon as it has a policy.
     evacuations.replace(result.value, before);
+    // A listing may arrive after a later one, or after a change. Its older policy would then count as the one in the store.
+    const isLate = seen && seen !== seenBefore && compareStatements(result.value, seen) < 0;
+    if (isLate) return result;
     applyListing(result.value);
     confirm();
     return result;
