sidecar: a write whose lease is not found is repeated after a pause

Cause: the registration skips the pause after lease-not-found, which is meant for a renewal that finds its lease expired. The write of a record under a lease that has just been granted may fail in the same way, and was then repeated at once. Change: only a lost renewal skips the pause.

--- a/packages/sidecar/src/lib/directory/createNodeRegistration.ts
+++ b/packages/sidecar/src/lib/directory/createNodeRegistration.ts
@@ -133,12 +133,15 @@
 
   const run = async (): Promise<void> => {
     while (!isClosed) {
+      const written = record;
       const result = await step();
       const isLeaseLost = !result.ok && result.error.kind === 'lease-not-found';
       const isKept = result.ok || isLeaseLost || record === undefined;
       setReachable(isKept, result.ok ? undefined : result.error.kind);
       const pause = result.ok ? directoryTimes.renewalInterval : directoryTimes.retryDelay;
-      const isRewritten = isLeaseLost || (result.ok && isOutdated());
+      // A write whose new lease is not found either would otherwise be repeated without a pause.
+      const isRenewalLost = isLeaseLost && written !== undefined;
+      const isRewritten = isRenewalLost || (result.ok && isOutdated());
       pausing = new AbortController();
       if (!isRewritten) await clock.sleep(pause, pausing.signal);
     }
