sidecar: the first calls wait for members outside evacuated zones

Cause: the router's first call of a service waits until the directory knows a usable member. The directory does not know the orders, so the wait ended with the members of an evacuated zone, such as the node's own, which it reads first. Calls were refused (no-upstream) until the other zones were known. Change: the wait is for members that the orders leave usable. It still ends after the list timeout (1 s), and is made once per service. The stubs in the test lose waitForMembers, which is no longer called; no check is changed.

--- a/packages/sidecar/src/lib/evacuation/createZoneMembership.ts
+++ b/packages/sidecar/src/lib/evacuation/createZoneMembership.ts
@@ -3,11 +3,14 @@
 import { map, merge } from 'rxjs';
 
 import type { MemberDirectory } from '../directory/MemberDirectory';
+import { waitForUsableMembers } from '../directory/waitForUsableMembers';
 import type { EvacuationOrders } from './EvacuationOrders';
 
 /** The members as routers need them. */
 type RoutedMembership = Pick<MemberDirectory, 'members' | 'changes' | 'waitForMembers' | 'suspect'>;
 
+type MemberSource = Omit<RoutedMembership, 'waitForMembers'>;
+
 const drainEvacuated = (
   members: readonly Member[],
   zones: ReadonlySet<ZoneId>,
@@ -29,19 +32,22 @@
  * @internal
  */
 export function createZoneMembership(
-  directory: RoutedMembership,
+  directory: MemberSource,
   orders: Pick<EvacuationOrders, 'zones' | 'changes'>,
 ): RoutedMembership {
   const drain = (members: readonly Member[]) => drainEvacuated(members, orders.zones());
+  const members: RoutedMembership['members'] = (service) => drain(directory.members(service));
+  const changes: RoutedMembership['changes'] = (service) =>
+    merge(
+      directory.changes(service),
+      orders.changes.pipe(map(() => directory.members(service))),
+    ).pipe(map(drain));
   return {
-    members: (service) => drain(directory.members(service)),
-    changes: (service) =>
-      merge(
-        directory.changes(service),
-        orders.changes.pipe(map(() => directory.members(service))),
-      ).pipe(map(drain)),
-    waitForMembers: async (service, timeoutMilliseconds) =>
-      drain(await directory.waitForMembers(service, timeoutMilliseconds)),
+    members,
+    changes,
+    // The directory would not wait for the other zones if it knows those that are evacuated.
+    waitForMembers: (service, timeoutMilliseconds) =>
+      waitForUsableMembers({ changes, ofService: members }, service, timeoutMilliseconds),
     suspect: directory.suspect,
   };
 }
--- a/packages/sidecar/src/lib/evacuation/evacuatedZone.test.ts
+++ b/packages/sidecar/src/lib/evacuation/evacuatedZone.test.ts
@@ -82,7 +82,6 @@
     {
       members: () => all,
       changes: () => new Subject<readonly Member[]>(),
-      waitForMembers: () => Promise.resolve(all),
       suspect: () => undefined,
     },
     orders,
@@ -100,6 +99,31 @@
   ]);
 });
 
+// Guards against an entry node that refuses its first calls because it knows only the members of evacuated zones yet.
+void t.test('the first calls wait for members of other zones', async (test) => {
+  const { orders, state } = createOrders();
+  const changes = new Subject<readonly Member[]>();
+  let all = [member('a')];
+  const membership = createZoneMembership(
+    {
+      members: () => all,
+      changes: () => changes,
+      suspect: () => undefined,
+    },
+    orders,
+  );
+  await state('a');
+  const found = membership.waitForMembers(SERVICE, 1_000);
+  setImmediate(() => {
+    all = [...all, member('b')];
+    changes.next(all);
+  });
+  test.same(
+    (await found).map((one) => one.state),
+    ['draining', 'ready'],
+  );
+});
+
 // Guards against messages that grow on deployments without orders, and against a node that is not told that an order has ended.
 void t.test('orders are sent if there are any or the receiver may not know', async (test) => {
   const { clock, orders, state } = createOrders();
