sidecar, platform: early refusal is switched on by a setting

Change: admission.refuse_early, false by default; without it the throttle counts failures as before.

--- a/packages/sidecar/src/lib/entry/EntryOptions.ts
+++ b/packages/sidecar/src/lib/entry/EntryOptions.ts
@@ -43,6 +43,8 @@
   /** Service of the local upstream, from which all requests at this entry come. */
   readonly callerService: ServiceId;
   readonly links: PeerLinks;
+  /** Whether requests are refused while calls below them are refused for lack of room. */
+  readonly refusesEarly: boolean;
   /** Most bytes of uploads that are kept whole; further uploads are streamed. */
   readonly uploadBytes: number;
   /** @returns Whether the node is stopping, so that callers should not reuse their connections. */
--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -130,6 +130,7 @@
       hasOpen: () => false,
       close: () => undefined,
     },
+    refusesEarly: true,
     uploadBytes: 33_554_432,
     isStopping: () => refusesCallers,
     refusesCallers: () => refusesCallers,
--- a/packages/sidecar/src/lib/entry/createEntryThrottle.ts
+++ b/packages/sidecar/src/lib/entry/createEntryThrottle.ts
@@ -11,6 +11,8 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: EventLogger;
+  /** Whether the reports of serving nodes are used. */
+  readonly refusesEarly: boolean;
 }
 
 /** A call that asks to be let through. */
@@ -58,16 +60,16 @@
  * the share that the node's own results suggest. Failures that the reports cover don't count in the second check, so that
  * they reduce the calls once.
  *
- * @param options - Clock, random source and logger.
+ * @param options - Clock, random source, logger, and whether reports are used.
  * @returns A throttle that lets all calls through.
  * @internal
  */
 export function createEntryThrottle(options: EntryThrottleOptions): EntryThrottle {
   const throttle = createRouteThrottle(options.clock, options.random);
-  const room = createEntryRoom(options);
+  const room = options.refusesEarly ? createEntryRoom(options) : undefined;
   return {
     start: ({ rank, remainingMilliseconds, route }) => {
-      if (!room.admits(route, rank)) {
+      if (room?.admits(route, rank) === false) {
         const delay = room.retryAfterMilliseconds(route, rank, remainingMilliseconds);
         return { kind: 'no-room', retryAfterMilliseconds: delay };
       }
@@ -76,14 +78,14 @@
       return {
         kind: 'started',
         finish: ({ isNestedRefused, isSuccess }) => {
-          if (isSuccess || !isNestedRefused) started.finish(isSuccess);
+          if (isSuccess || !isNestedRefused || !room) started.finish(isSuccess);
         },
       };
     },
     recordAttempt: ({ isNested, route }, { nestedShare }) => {
       // Nested calls are never throttled, so their reports are not needed.
-      if (!isNested) room.record(route, nestedShare);
+      if (!isNested) room?.record(route, nestedShare);
     },
-    reducedRoutes: room.reducedRoutes,
+    reducedRoutes: () => room?.reducedRoutes() ?? 0,
   };
 }
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -437,6 +437,7 @@
     host,
     callerService: service,
     links,
+    refusesEarly: options.refusesEarly,
     uploadBytes: options.connectionLimits.uploadBytes,
     isStopping: () => isStopping,
     refusesCallers: () => refusesCallers,
--- a/packages/sidecar/src/lib/testing/simulateNestedLoad.ts
+++ b/packages/sidecar/src/lib/testing/simulateNestedLoad.ts
@@ -130,7 +130,12 @@
     Array.from({ length }, () => createNestedShares(clock)),
   );
   const entries = Array.from({ length: ENTRY_NODES }, () => ({
-    reporting: createEntryThrottle({ clock, random, logger: createSilentLogger() }),
+    reporting: createEntryThrottle({
+      clock,
+      random,
+      logger: createSilentLogger(),
+      refusesEarly: true,
+    }),
     alone: createRouteThrottle(clock, random),
   }));
   const returns: { readonly at: number; readonly rank: number }[] = [];
