admission: the speed of an upstream that was idle for hours is a number

The sums behind the usual speed decay separately. After two hours without a call, the cost of a call below 1 ms underflowed to 0 before the count of calls, and the speed was 0 / 0 until the next call completed. The count is now taken as 0 below 1e-9.

--- a/packages/admission/src/lib/work/createSpeedEstimate.ts
+++ b/packages/admission/src/lib/work/createSpeedEstimate.ts
@@ -10,6 +10,9 @@
 /** Calls of speed 1 that the usual speed starts from. */
 const INITIAL_CALLS = 8;
 
+/** Weight of the calls below which the usual speed is forgotten, so that no sum underflows to 0 before the others. */
+const FORGOTTEN_CALLS = 1e-9;
+
 /** Largest deviation of a speed from 1, as a factor. */
 const MAXIMUM_RATIO = 8;
 
@@ -61,14 +64,14 @@
   };
 
   const usual = (): number => {
-    if (usualCalls === 0) return 1;
+    if (usualCalls < FORGOTTEN_CALLS) return 1;
     const prior = (INITIAL_CALLS * usualCost) / usualCalls;
     return limit((usualCost + prior) / (usualTime + prior));
   };
 
   const current = (): number => {
     decay();
-    if (usualCalls === 0) return 1;
+    if (usualCalls < FORGOTTEN_CALLS) return 1;
     const weight = (USUAL_CALLS * usualCost) / usualCalls;
     return limit((recentCost + weight) / (recentTime + weight / usual()));
   };
--- a/packages/admission/src/lib/work/upstreamWork.test.ts
+++ b/packages/admission/src/lib/work/upstreamWork.test.ts
@@ -149,3 +149,20 @@
     test.ok(after >= 0.995 * before);
   },
 );
+
+// Guards against a speed of 0 / 0: after two hours without a call, the sums of its cost and time underflow before their count.
+void t.test('the speed stays a number for however long the upstream is idle', async (test) => {
+  const { admission, clock } = createUpstream();
+  const permit = startCall(admission, 0.1);
+  await clock.advance(0.1);
+  permit.release('completed');
+  const speeds: unknown[] = [];
+  await clock.advance(7_430_000);
+  for (let second = 0; second < 40; second += 1) {
+    await clock.advance(1_000);
+    const { speed } = admission.load();
+    // Reads decay the sums, so that each of these steps underflows at another point.
+    speeds.push(speed);
+  }
+  test.ok(speeds.every(Number.isFinite), speeds.join(' '));
+});
