routing: calls of unknown cost are compared by calls

A service of which no service time is known, such as one whose responses are all streamed, has the expected cost 0. Its calls add no work, so all members had the expected completion time 0 and were chosen at random, whatever they ran. Cost 0 now means the comparison by calls.

--- a/packages/routing/src/lib/choice/expectedWork.test.ts
+++ b/packages/routing/src/lib/choice/expectedWork.test.ts
@@ -128,3 +128,10 @@
   test.equal(await (await createPair('riga-2', { near, far: fast })).countFar(1, COST), 1);
   test.equal(await (await createPair('riga-2', { near, far: fast })).countFar(1), 0);
 });
+
+// Guards against a choice at random between members that report no work, because the costs of all calls are unknown: service times
+// of streamed responses are not learned.
+void t.test('calls of unknown cost are compared by calls', async (test) => {
+  const loads = { near: { running: 15, ...workOf(0) }, far: { running: 1, ...workOf(0) } };
+  test.equal(await (await createPair('riga-1', loads)).countFar(10, 0), 10);
+});
--- a/packages/routing/src/lib/members/compareMembers.ts
+++ b/packages/routing/src/lib/members/compareMembers.ts
@@ -9,7 +9,8 @@
  *
  * @param left - A member.
  * @param right - Another member.
- * @param costMilliseconds - Expected service time of the call; undefined to compare by calls.
+ * @param costMilliseconds - Expected service time of the call; undefined or 0 (not known) to compare by calls. Calls of
+ *   unknown cost add no work, so members could have equal completion times with any number of calls.
  * @param now - Monotonic time, in milliseconds.
  * @param settings - Settings of the router.
  * @returns A negative number if the first member is the better choice, 0 if both are equal.
@@ -24,7 +25,7 @@
 ): number {
   const reportWork =
     left.load?.workMilliseconds !== undefined && right.load?.workMilliseconds !== undefined;
-  if (costMilliseconds === undefined || !reportWork)
+  if (!costMilliseconds || !reportWork)
     return memberScore(left, now, settings) - memberScore(right, now, settings);
   return (
     completionTime(left, costMilliseconds, now, settings) -
