sidecar: held bytes of a connection don't keep the whole read in memory

What waits for the parser is a part of a read of up to 64 KiB, and keeps all of it, while the limit for kept bytes counts the part only. A body of 60,000 bytes followed by 36 requests, of which less than 1,000 bytes waited, kept 60,217 bytes for each connection (about 120 MB with 2,048 connections, at a limit of 25 MB). A part of less than half is now copied when the connection is held: 816 bytes in the same test.

--- a/packages/sidecar/src/lib/http/connections/createRequestGate.ts
+++ b/packages/sidecar/src/lib/http/connections/createRequestGate.ts
@@ -32,6 +32,17 @@
 
 type Listener = (...values: unknown[]) => void;
 
+/**
+ * Copies a small part of a read, which would keep the whole read in memory. At most twice the bytes of the result are kept, so that
+ * the limit for kept bytes holds.
+ */
+function withoutUnusedBytes(bytes: Buffer): Buffer {
+  if (bytes.buffer.byteLength <= 2 * bytes.length) return bytes;
+  const copy = Buffer.allocUnsafeSlow(bytes.length);
+  bytes.copy(copy);
+  return copy;
+}
+
 /** The HTTP server sets this property while its parser must not be called. */
 interface ParsedSocket extends Socket {
   readonly _paused?: boolean;
@@ -97,6 +108,7 @@
   const pass = (): void => {
     while (waiting && !isScheduled && !socket.destroyed && !isBlocked()) passSlice(waiting);
     if (waiting) {
+      if (!isScheduled) waiting = withoutUnusedBytes(waiting);
       // Nothing more is read until the parser has what has been read; the event of a resumption continues.
       socket.pause();
       return;
