sidecar: a caller that has gone is noticed while its bytes are held

The end of a connection waited behind the bytes that are held for the parser, so the calls of a caller that had gone ran on until their responses. The held bytes are dropped, as Node.js answers no request of a caller that has closed its side. The end is not noticed behind more than is read ahead, as without the gate.

--- a/packages/sidecar/src/lib/http/connections/createRequestGate.ts
+++ b/packages/sidecar/src/lib/http/connections/createRequestGate.ts
@@ -105,8 +105,21 @@
     if (begun > before || isChunked) schedule();
   };
 
+  /**
+   * Ends a connection whose caller has closed it while the rest of what it sent is held. The HTTP server doesn't answer requests
+   * of such a caller, so the rest is not needed, and waiting for it would let the calls run on.
+   */
+  const discardHeld = (): void => {
+    // The end of the body may have arrived, so the parser must not report that it is missing.
+    if (!isBetweenMessages()) socket.destroy();
+    waiting = undefined;
+  };
+
   const pass = (): void => {
     while (waiting && !isScheduled && !socket.destroyed && !isBlocked()) passSlice(waiting);
+    // A response that is being read may still be written to its end.
+    if (waiting && hasEnded && !isScheduled && !isParserPaused()) discardHeld();
+    if (socket.destroyed) return;
     if (waiting) {
       if (!isScheduled) waiting = withoutUnusedBytes(waiting);
       // Nothing more is read until the parser has what has been read; the event of a resumption continues.
--- a/packages/sidecar/src/lib/http/connections/guardConnections.test.ts
+++ b/packages/sidecar/src/lib/http/connections/guardConnections.test.ts
@@ -263,6 +263,48 @@
   test.ok(await until(() => closed === 3), `${closed} of ${begun}`);
 });
 
+// Guards against calls that run on for a caller that has gone, because the end of its connection waits behind held requests.
+void t.test('a caller that has gone is noticed while its requests are held', async (test) => {
+  let begun = 0;
+  let closed = 0;
+  const { open, reasons } = await start(test, (_request, response) => {
+    begun += 1;
+    response.once('close', () => {
+      closed += 1;
+    });
+  });
+  const { socket } = await open();
+  socket.write(get('/').repeat(100));
+  test.ok(await until(() => reasons.includes('requests-ahead')));
+  const gone = performance.now();
+  socket.end();
+  test.ok(await until(() => closed === begun), `${closed} of ${begun}`);
+  test.ok(performance.now() - gone < 5_000);
+  test.ok(begun < 100, `${begun} begun`);
+});
+
+// Guards against the same for a caller whose body is not being read.
+void t.test('a caller that has gone is noticed while its body is held', async (test) => {
+  let begun = 0;
+  let closed = 0;
+  const { open } = await start(test, (request, response) => {
+    begun += 1;
+    request.on('error', () => undefined).pause();
+    response.once('close', () => {
+      closed += 1;
+    });
+  });
+  const { socket, text } = await open();
+  const head = 'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 40000\r\n\r\n';
+  socket.write(head + 'x'.repeat(40_000));
+  test.ok(await until(() => begun === 1));
+  const gone = performance.now();
+  socket.end();
+  test.ok(await until(() => closed === 1));
+  test.ok(performance.now() - gone < 5_000);
+  test.equal(text(), '');
+});
+
 // Guards against defaults that callers within their limits meet.
 void t.test('many callers with one request each meet no limit', async (test) => {
   const { open, reasons } = await start(test, (request, response) => {
