routing: calls decide between members with equal completion times

Change: a call of unknown cost is compared by expected completion time again, and by calls only if these times are equal, as they are where no cost is known at all.

--- a/packages/routing/src/lib/choice/RouteRequest.ts
+++ b/packages/routing/src/lib/choice/RouteRequest.ts
@@ -15,7 +15,7 @@
   /** Regions in which a member may be chosen; undefined for all. */
   readonly allowedRegions: ReadonlySet<RegionId> | undefined;
   /**
-   * Expected service time on an average upstream, in milliseconds; 0 if it is not known. If it is given and not 0, members are
+   * Expected service time on an average upstream, in milliseconds; 0 if it is not known. If it is given, members are
    * compared by expected completion time.
    */
   readonly costMilliseconds?: number | undefined;
--- a/packages/routing/src/lib/members/compareMembers.ts
+++ b/packages/routing/src/lib/members/compareMembers.ts
@@ -9,8 +9,8 @@
  *
  * @param left - A member.
  * @param right - Another member.
- * @param costMilliseconds - Expected service time of the call; undefined or 0 (not known) to compare by calls. Calls of
- *   unknown cost add no work, so members could have equal completion times with any number of calls.
+ * @param costMilliseconds - Expected service time of the call; undefined to compare by calls. Calls of unknown cost (0) add no
+ *   work, so members with equal completion times are compared by calls.
  * @param now - Monotonic time, in milliseconds.
  * @param settings - Settings of the router.
  * @returns A negative number if the first member is the better choice, 0 if both are equal.
@@ -25,10 +25,11 @@
 ): number {
   const reportWork =
     left.load?.workMilliseconds !== undefined && right.load?.workMilliseconds !== undefined;
-  if (!costMilliseconds || !reportWork)
-    return memberScore(left, now, settings) - memberScore(right, now, settings);
-  return (
+  const byCalls = (): number =>
+    memberScore(left, now, settings) - memberScore(right, now, settings);
+  if (costMilliseconds === undefined || !reportWork) return byCalls();
+  const difference =
     completionTime(left, costMilliseconds, now, settings) -
-    completionTime(right, costMilliseconds, now, settings)
-  );
+    completionTime(right, costMilliseconds, now, settings);
+  return difference === 0 ? byCalls() : difference;
 }
--- a/packages/routing/src/lib/service/createServiceRouter.ts
+++ b/packages/routing/src/lib/service/createServiceRouter.ts
@@ -100,7 +100,7 @@
   /** With an expected cost, a call may be sent to another zone of the region before its own zone is full. */
   const pickInRegion = (near: TrackedMember, request: RouteRequest): TrackedMember => {
     const { costMilliseconds } = request;
-    if (!costMilliseconds) return near;
+    if (costMilliseconds === undefined) return near;
     const far = pick(OWN_REGION, request, NO_REGIONS);
     const detourMilliseconds =
       roundTrips.milliseconds(OWN_REGION) - roundTrips.milliseconds(OWN_ZONE);
