--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -17,7 +17,6 @@
 import { memoizeByRevision } from '../directory/memoizeByRevision';
 import { announcementDelay } from '../evacuation/announcementDelay';
 import { createEvacuationOrders } from '../evacuation/createEvacuationOrders';
-import type { ServingPermission } from '../evacuation/createServingGate';
 import { createServingGate } from '../evacuation/createServingGate';
 import { createStatementSender } from '../evacuation/createStatementSender';
 import { createZoneMembership } from '../evacuation/createZoneMembership';
@@ -55,6 +54,7 @@
 import { isSameStart } from '../serving/isSameStart';
 import type { UpstreamInstance } from '../serving/UpstreamInstance';
 import type { UpstreamView } from '../serving/UpstreamRegistry';
+import { addSidecarGauges } from './addSidecarGauges';
 import { createCallerListener } from './createCallerListener';
 import { createLagMonitor } from './createLagMonitor';
 import { createSidecarMetrics } from './createSidecarMetrics';
@@ -86,12 +86,6 @@
  */
 const SERVING_WHILE_STOPPING_MILLISECONDS = 1_200;
 
-const servingValues: Readonly<Record<ServingPermission, number>> = {
-  unknown: -1,
-  allowed: 1,
-  evacuated: 0,
-};
-
 function departureOf(
   { id, startedMilliseconds }: UpstreamInstance,
   state: UpstreamView['state'],
@@ -483,58 +477,6 @@
     return peerListener.hasOpen();
   }
 
-  const addGauges = (): void => {
-    const { addGauge } = metrics;
-    const { load } = admission;
-    addGauge('running', 'Calls running at the upstream', () => load().running);
-    addGauge('queued', 'Calls waiting for the upstream', () => load().queued);
-    addGauge('limit', 'Calls that may run at once', () => load().limit);
-    addGauge(
-      'cold_time_left',
-      'Remaining cold time of the upstream, in milliseconds',
-      coldLimit.leftMilliseconds,
-    );
-    addGauge(
-      'upstream_work',
-      'Expected remaining work of running and queued calls, in milliseconds at speed 1; -1 if not estimated',
-      () => load().workMilliseconds ?? -1,
-    );
-    addGauge(
-      'upstream_speed',
-      'Speed of the upstream, 1 for an average one of its service; -1 if not estimated',
-      () => load().speed ?? -1,
-    );
-    addGauge('policy_revision', 'Revision of the policy in force', policyRevision);
-    addGauge(
-      'policy_age',
-      'Time since the policy in force was known to be the newest, in milliseconds; -1 if it never was',
-      () => (Number.isFinite(policy.ageMilliseconds()) ? policy.ageMilliseconds() : -1),
-    );
-    addGauge(
-      'evacuated_zones',
-      'Zones that are evacuated, as far as this node knows',
-      () => evacuations.zones().size,
-    );
-    addGauge(
-      'evacuation_orders_ignored',
-      'Evacuation orders that have no effect: their key is unreadable, or no node belongs to the zone',
-      () => evacuations.unreadableKeys() + unknownZones.count(),
-    );
-    addGauge(
-      'serving_allowed',
-      'Whether calls for the local upstream are accepted: 1, 0 if its zone is evacuated, -1 if that is not known yet',
-      () => servingValues[gate.permission()],
-    );
-    addGauge(
-      'event_loop_delay',
-      'Last measured delay of timers, in milliseconds',
-      lag.delayMilliseconds,
-    );
-    addGauge('store_era', 'Highest era that the store has stated; 0 if it states none', store.era);
-    addGauge('members', 'Other nodes that answer', () => directory.livePeers().length);
-    addGauge('in_progress', 'Requests without a complete answer', entry.inProgress);
-  };
-
   /** Schedules the later phases of a shutdown; the returned function cancels the phases that have not begun. */
   const scheduleStopPhases = (): (() => void) => {
     const cancelDraining = clock.setTimer(SERVING_WHILE_STOPPING_MILLISECONDS, () => {
@@ -592,7 +534,18 @@
       return policy.current() ? undefined : 'no policy in force';
     },
     start: async () => {
-      addGauges();
+      addSidecarGauges(metrics, {
+        load: admission.load,
+        policy,
+        evacuations,
+        gate,
+        unknownZones,
+        eventLoopDelay: lag.delayMilliseconds,
+        coldMilliseconds: coldLimit.leftMilliseconds,
+        storeEra: store.era,
+        livePeers: directory.livePeers,
+        inProgress: entry.inProgress,
+      });
       await Promise.all([peerListener.listen(listeners.peers), callers.listen(listeners.callers)]);
       directory.start();
       coldProbe.start();
