sidecar: early refusal in the usual terms

createEntryRoom, createRouteRoom and isRefusedForRoom are now createEarlyRefusal, createRouteShare and isCapacityRefusal; texts say capacity.

--- a/packages/sidecar/src/lib/entry/EntryOptions.ts
+++ b/packages/sidecar/src/lib/entry/EntryOptions.ts
@@ -43,7 +43,7 @@
   /** Service of the local upstream, from which all requests at this entry come. */
   readonly callerService: ServiceId;
   readonly links: PeerLinks;
-  /** Whether requests are refused while calls below them are refused for lack of room. */
+  /** Whether requests are refused while calls below them are refused for lack of capacity. */
   readonly refusesEarly: boolean;
   /** Most bytes of uploads that are kept whole; further uploads are streamed. */
   readonly uploadBytes: number;
--- a/packages/sidecar/src/lib/entry/ForwardResult.ts
+++ b/packages/sidecar/src/lib/entry/ForwardResult.ts
@@ -16,7 +16,7 @@
   readonly host: HostId | undefined;
   /** Whether an attempt failed because an upstream refused it, or a call below it, that its node had admitted. */
   readonly isShed?: boolean;
-  /** Whether an attempt failed because a call below it was refused for lack of room. */
+  /** Whether an attempt failed because a call below it was refused for lack of capacity. */
   readonly isNestedRefused?: boolean;
   /** Retry-After of a refusal, in milliseconds, if it needs no further jitter. */
   readonly spreadMilliseconds?: number;
--- a/packages/sidecar/src/lib/entry/createEntryRoom.test.ts
+++ b/packages/sidecar/src/lib/entry/createEarlyRefusal.test.ts
@@ -3,7 +3,7 @@
 import t from 'tap';
 
 import { simulateNestedLoad } from '../testing/simulateNestedLoad';
-import { createEntryRoom } from './createEntryRoom';
+import { createEarlyRefusal } from './createEarlyRefusal';
 
 const SEED = 20_261_206;
 const LOAD_SEEDS = [SEED, SEED + 1, SEED + 2];
@@ -49,7 +49,7 @@
 };
 
 [1.7, 2.4].forEach((factor) => {
-  // Guards against runs whose nested calls are refused. Callers need all that there is room for, the important calls first, and
+  // Guards against runs whose nested calls are refused. Callers need all that there is capacity for, the important calls first, and
   // everything two seconds after the surge; the upstreams need their time for runs that end well.
   void t.test(`at ${factor} times the load few runs are in vain`, async (test) => {
     const { recovered, returns, settled } = simulate(factor, true);
@@ -77,7 +77,7 @@
   });
 });
 
-// Guards against refusing calls for which there is room.
+// Guards against refusing calls for which there is capacity.
 void t.test('at the usual load nothing is lost', async (test) => {
   const { returns, settled } = simulate(1, true);
   const baseline = simulate(1, false);
@@ -86,15 +86,15 @@
   test.ok(returns.length <= 0.001 * settled.started, `${returns.length} refused early`);
 });
 
-const createRoom = () => {
+const createFixture = () => {
   const clock = createFakeClock();
   const random = createSeededRandom(SEED);
-  return { clock, room: createEntryRoom({ clock, random, logger: createSilentLogger() }) };
+  return { clock, refusal: createEarlyRefusal({ clock, random, logger: createSilentLogger() }) };
 };
 
 /** Sends calls of each rank for some time, and returns the share that was let through by rank. */
 const sendCalls = async (
-  { clock, room }: ReturnType<typeof createRoom>,
+  { clock, refusal }: ReturnType<typeof createFixture>,
   milliseconds: number,
   report: number | undefined,
 ) => {
@@ -102,9 +102,9 @@
   const steps = milliseconds / 10;
   for (let step = 0; step < steps; step += 1) {
     admitted.forEach((count, rank) => {
-      admitted[rank] = count + (room.admits('read', rank) ? 1 / steps : 0);
+      admitted[rank] = count + (refusal.admits('read', rank) ? 1 / steps : 0);
     });
-    room.record('read', report);
+    refusal.record('read', report);
     await clock.advance(10);
   }
   return admitted;
@@ -112,22 +112,22 @@
 
 // Guards against acting where serving nodes report nothing, and against a route that stays throttled when reports end.
 void t.test('without reports calls are let through', async (test) => {
-  const fixture = createRoom();
+  const fixture = createFixture();
   test.same((await sendCalls(fixture, 500, undefined)).map(Math.round), [1, 1, 1, 1]);
   const reduced = await sendCalls(fixture, 3_000, 0.01);
   test.ok(reduced[3]! > 0 && reduced[3]! < 0.5, `${reduced}`);
-  test.equal(fixture.room.reducedRoutes(), 1);
+  test.equal(fixture.refusal.reducedRoutes(), 1);
   await sendCalls(fixture, 5_000, undefined);
-  test.equal(fixture.room.reducedRoutes(), 0);
+  test.equal(fixture.refusal.reducedRoutes(), 0);
 });
 
 // Guards against delays that callers do not honour, and against less important callers that return first.
 void t.test('Retry-After stays within a third of the remaining time', async (test) => {
-  const fixture = createRoom();
+  const fixture = createFixture();
   await sendCalls(fixture, 3_000, 0.01);
   const meanOf = (rank: number): number => {
     const delays = Array.from({ length: 500 }, () =>
-      fixture.room.retryAfterMilliseconds('read', rank, 1_500),
+      fixture.refusal.retryAfterMilliseconds('read', rank, 1_500),
     );
     test.ok(Math.max(...delays) < 500);
     test.ok(new Set(delays.map((delay) => Math.floor(delay / 25))).size >= 8, 'spread');
--- a/packages/sidecar/src/lib/entry/createEntryRoom.ts
+++ b/packages/sidecar/src/lib/entry/createEarlyRefusal.ts
@@ -1,8 +1,8 @@
 import type { Clock, RandomSource } from '@buckthornslip/common';
 import type { EventLogger } from '@buckthornslip/telemetry';
 
-import type { RouteRoom } from './createRouteRoom';
-import { createRouteRoom } from './createRouteRoom';
+import type { RouteShare } from './createRouteShare';
+import { createRouteShare } from './createRouteShare';
 import { spreadRetryAfter } from './spreadRetryAfter';
 
 /** Reported share below which a route is controlled. */
@@ -20,19 +20,19 @@
 /** Shortest time between two log lines of the same event, in milliseconds. */
 const LOG_MILLISECONDS = 10_000;
 
-/** Dependencies of the room at the entry. */
-interface EntryRoomOptions {
+/** Dependencies of early refusal. */
+interface EarlyRefusalOptions {
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: EventLogger;
 }
 
 /**
- * Decides at the entry node whether there is probably room for the nested calls of a call.
+ * Decides at the entry node whether there is probably capacity for the nested calls of a call.
  *
  * @internal
  */
-export interface EntryRoom {
+export interface EarlyRefusal {
   /** @returns Whether a call is let through. */
   readonly admits: (route: string, rank: number) => boolean;
   /** @param share - Share of the runs that passed, as a serving node has reported it; undefined if it reported none. */
@@ -55,11 +55,11 @@
  * calls that is let through. A route without reports of refused nested calls has no state and is let through.
  *
  * @param options - Clock, random source and logger.
- * @returns An entry room that lets all calls through.
+ * @returns An early refusal that lets all calls through.
  * @internal
  */
-export function createEntryRoom({ clock, logger, random }: EntryRoomOptions): EntryRoom {
-  const routes = new Map<string, RouteRoom>();
+export function createEarlyRefusal({ clock, logger, random }: EarlyRefusalOptions): EarlyRefusal {
+  const routes = new Map<string, RouteShare>();
   let sweptMilliseconds = 0;
   let isReduced = false;
   let loggedMilliseconds = Number.NEGATIVE_INFINITY;
@@ -67,8 +67,8 @@
   const reducedRoutes = (): number => {
     const now = clock.monotonicMilliseconds();
     let count = 0;
-    routes.forEach((room) => {
-      if (room.update(now) < 1) count += 1;
+    routes.forEach((routeShare) => {
+      if (routeShare.update(now) < 1) count += 1;
     });
     return count;
   };
@@ -76,9 +76,9 @@
   const sweep = (now: number): void => {
     if (routes.size === 0 || now - sweptMilliseconds < SWEEP_MILLISECONDS) return;
     sweptMilliseconds = now;
-    routes.forEach((room, route) => {
-      const isIdle = now - room.lowMilliseconds() >= IDLE_MILLISECONDS;
-      if (isIdle && room.update(now) >= 1) routes.delete(route);
+    routes.forEach((routeShare, route) => {
+      const isIdle = now - routeShare.lowMilliseconds() >= IDLE_MILLISECONDS;
+      if (isIdle && routeShare.update(now) >= 1) routes.delete(route);
     });
     if (!isReduced || reducedRoutes() > 0) return;
     isReduced = false;
@@ -92,33 +92,33 @@
     logger.log('earlyRefusalStarted', { route, reportedShare });
   };
 
-  const add = (route: string, now: number): RouteRoom | undefined => {
+  const add = (route: string, now: number): RouteShare | undefined => {
     if (routes.size >= MAXIMUM_ROUTES) return undefined;
-    const room = createRouteRoom(now);
-    routes.set(route, room);
-    return room;
+    const routeShare = createRouteShare(now);
+    routes.set(route, routeShare);
+    return routeShare;
   };
 
   return {
     admits: (route, rank) => {
-      const room = routes.get(route);
-      if (!room) return true;
-      room.countArrival(rank);
-      if (room.update(clock.monotonicMilliseconds()) >= 1) return true;
-      const share = room.shareOf(rank);
+      const routeShare = routes.get(route);
+      if (!routeShare) return true;
+      routeShare.countArrival(rank);
+      if (routeShare.update(clock.monotonicMilliseconds()) >= 1) return true;
+      const share = routeShare.shareOf(rank);
       return share >= 1 || random.next() < share;
     },
     record: (route, share) => {
       if (share === undefined) return;
       const now = clock.monotonicMilliseconds();
       sweep(now);
-      const room = routes.get(route) ?? (share < LOW_SHARE ? add(route, now) : undefined);
-      if (!room) return;
-      room.record(share, now);
-      if (room.update(now) < 1) logReduced(route, share, now);
+      const routeShare = routes.get(route) ?? (share < LOW_SHARE ? add(route, now) : undefined);
+      if (!routeShare) return;
+      routeShare.record(share, now);
+      if (routeShare.update(now) < 1) logReduced(route, share, now);
     },
     retryAfterMilliseconds: (route, rank, remainingMilliseconds) => {
-      const waitMilliseconds = routes.get(route)?.millisecondsToRoom(rank) ?? 0;
+      const waitMilliseconds = routes.get(route)?.millisecondsToCapacity(rank) ?? 0;
       return spreadRetryAfter(random, { rank, remainingMilliseconds, waitMilliseconds });
     },
     reducedRoutes,
--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -265,37 +265,40 @@
   close();
 });
 
-// Guards against losing on the way up the chain that a call was refused for lack of room: an upstream answers its own caller with
+// Guards against losing on the way up the chain that a call was refused for lack of capacity: an upstream answers its own caller with
 // 500 then.
-void t.test('a parent learns that a call below it was refused for lack of room', async (test) => {
-  const results = [
-    { answer: refuse('upstream-failed', 'ran'), load: undefined },
-    { answer: refuse('queue-full'), load: undefined, isShed: true },
-    { answer: refuse('queue-full'), load: undefined },
-    { ...answered(), answer: { ...answered().answer, status: 500 }, isNestedRefused: true },
-  ];
-  let calls = 0;
-  const { clock, close, running, send } = await startEntry(async () => {
-    calls += 1;
-    return results[calls - 1]!;
-  });
-  const refused: boolean[] = [];
-  for (const timeout of [500, 600, 700, 800]) {
-    const now = clock.monotonicMilliseconds();
-    const parent = { requestId: 'p', rank: 0, chargedAccount: undefined, isRepeat: false };
-    const tracked = running.add(parent, now, now + timeout);
-    test.notOk(tracked.isParent());
-    await send('/inner/1', { timeout: `${timeout}` });
-    test.ok(tracked.isParent());
-    refused.push(tracked.hasRefusedCall());
-    tracked.end();
-  }
-  test.same(refused, [false, false, true, true]);
-  close();
-});
+void t.test(
+  'a parent learns that a call below it was refused for lack of capacity',
+  async (test) => {
+    const results = [
+      { answer: refuse('upstream-failed', 'ran'), load: undefined },
+      { answer: refuse('queue-full'), load: undefined, isShed: true },
+      { answer: refuse('queue-full'), load: undefined },
+      { ...answered(), answer: { ...answered().answer, status: 500 }, isNestedRefused: true },
+    ];
+    let calls = 0;
+    const { clock, close, running, send } = await startEntry(async () => {
+      calls += 1;
+      return results[calls - 1]!;
+    });
+    const refused: boolean[] = [];
+    for (const timeout of [500, 600, 700, 800]) {
+      const now = clock.monotonicMilliseconds();
+      const parent = { requestId: 'p', rank: 0, chargedAccount: undefined, isRepeat: false };
+      const tracked = running.add(parent, now, now + timeout);
+      test.notOk(tracked.isParent());
+      await send('/inner/1', { timeout: `${timeout}` });
+      test.ok(tracked.isParent());
+      refused.push(tracked.hasRefusedCall());
+      tracked.end();
+    }
+    test.same(refused, [false, false, true, true]);
+    close();
+  },
+);
 
 // Guards against runs in vain: the reports of serving nodes say that calls below them are refused.
-void t.test('calls are refused at their entry if calls below them lack room', async (test) => {
+void t.test('calls are refused at their entry if calls below them lack capacity', async (test) => {
   let runs = 0;
   const { close, metrics, send, sendRepeatedly } = await startEntry(async (call) => {
     if (call.route !== 'read') return answered();
--- a/packages/sidecar/src/lib/entry/createEntry.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.ts
@@ -20,7 +20,7 @@
 import type { EntryOptions } from './EntryOptions';
 import type { ForwardResult } from './ForwardResult';
 import { computeRetryAfter } from './computeRetryAfter';
-import { isRefusedForRoom } from './isRefusedForRoom';
+import { isCapacityRefusal } from './isCapacityRefusal';
 import { writeRefusal } from './writeRefusal';
 
 /** Handles the requests of callers and of the local upstream. */
@@ -132,7 +132,7 @@
     const result = await forwarder.forward(call);
     if (isSuccess(result.answer)) parent?.countFinishedCall();
     else if (result.isShed) parent?.recordShedCall();
-    else if (isRefusedForRoom(result)) parent?.recordRefusedCall();
+    else if (isCapacityRefusal(result)) parent?.recordRefusedCall();
     return result;
   };
 
@@ -146,7 +146,7 @@
     const remainingMilliseconds = scope.remainingMilliseconds();
     const decision = throttle.start({ route, rank, remainingMilliseconds });
     if (decision.kind === 'throttled') return notSent(refuse('priority-cutoff'));
-    if (decision.kind === 'no-room') {
+    if (decision.kind === 'no-capacity') {
       metrics.countEarlyRefusal(rank);
       const { retryAfterMilliseconds: spreadMilliseconds } = decision;
       return { ...notSent(refuse('priority-cutoff')), spreadMilliseconds };
@@ -279,7 +279,7 @@
 
   metrics.addGauge(
     'early_refusal_routes',
-    'Routes of which some calls are refused at this entry because calls below them lack room',
+    'Routes of which some calls are refused at this entry because calls below them lack capacity',
     throttle.reducedRoutes,
   );
 
--- a/packages/sidecar/src/lib/entry/createEntryThrottle.ts
+++ b/packages/sidecar/src/lib/entry/createEntryThrottle.ts
@@ -3,7 +3,7 @@
 
 import type { AttemptResult } from '../serving/AttemptResult';
 import type { CallAttempt } from '../serving/CallAttempt';
-import { createEntryRoom } from './createEntryRoom';
+import { createEarlyRefusal } from './createEarlyRefusal';
 import { createRouteThrottle } from './createRouteThrottle';
 
 /** Dependencies of the throttle. */
@@ -27,7 +27,7 @@
 /** How a call ended that was let through. */
 interface CallEnd {
   readonly isSuccess: boolean;
-  /** Whether it failed because a call below it was refused for lack of room. */
+  /** Whether it failed because a call below it was refused for lack of capacity. */
   readonly isNestedRefused?: boolean | undefined;
 }
 
@@ -37,7 +37,7 @@
   /** Refused by the node's own results; the delay has no jitter of its own. */
   | { readonly kind: 'throttled' }
   /** Refused by the reports of serving nodes. */
-  | { readonly kind: 'no-room'; readonly retryAfterMilliseconds: number };
+  | { readonly kind: 'no-capacity'; readonly retryAfterMilliseconds: number };
 
 /**
  * Refuses calls at the entry node that would probably fail after some work.
@@ -66,26 +66,26 @@
  */
 export function createEntryThrottle(options: EntryThrottleOptions): EntryThrottle {
   const throttle = createRouteThrottle(options.clock, options.random);
-  const room = options.refusesEarly ? createEntryRoom(options) : undefined;
+  const earlyRefusal = options.refusesEarly ? createEarlyRefusal(options) : undefined;
   return {
     start: ({ rank, remainingMilliseconds, route }) => {
-      if (room?.admits(route, rank) === false) {
-        const delay = room.retryAfterMilliseconds(route, rank, remainingMilliseconds);
-        return { kind: 'no-room', retryAfterMilliseconds: delay };
+      if (earlyRefusal?.admits(route, rank) === false) {
+        const delay = earlyRefusal.retryAfterMilliseconds(route, rank, remainingMilliseconds);
+        return { kind: 'no-capacity', retryAfterMilliseconds: delay };
       }
       const started = throttle.tryStart(`${route}/${rank}`);
       if (!started) return { kind: 'throttled' };
       return {
         kind: 'started',
         finish: ({ isNestedRefused, isSuccess }) => {
-          if (isSuccess || !isNestedRefused || !room) started.finish(isSuccess);
+          if (isSuccess || !isNestedRefused || !earlyRefusal) started.finish(isSuccess);
         },
       };
     },
     recordAttempt: ({ isNested, route }, { nestedShare }) => {
       // Nested calls are never throttled, so their reports are not needed.
-      if (!isNested) room?.record(route, nestedShare);
+      if (!isNested) earlyRefusal?.record(route, nestedShare);
     },
-    reducedRoutes: () => room?.reducedRoutes() ?? 0,
+    reducedRoutes: () => earlyRefusal?.reducedRoutes() ?? 0,
   };
 }
--- a/packages/sidecar/src/lib/entry/createRouteRoom.ts
+++ b/packages/sidecar/src/lib/entry/createRouteShare.ts
@@ -18,7 +18,7 @@
 /** Time constant with which the share follows its target, in milliseconds; a faster one swings with late feedback. */
 const FOLLOW_MILLISECONDS = 400;
 
-/** Calls let through for each run that passed. Without headroom, growing room would be noticed only by chance. */
+/** Calls let through for each run that passed. Without headroom, growing capacity would be noticed only by chance. */
 const HEADROOM_FACTOR = 1.03;
 
 /**
@@ -29,21 +29,21 @@
 
 /** Share of passed runs from which the share grows, and from which it grows at its full speed. */
 const FULL_SHARE = 0.97;
-const ROOM_SHARE = 0.99;
+const SPARE_SHARE = 0.99;
 
 /** Growth per second (exponent): from the lowest share to 1 in 0.5 s, since reports are late by about a second. */
 const GROWTH_PER_SECOND = 5;
 
 /**
- * Growth above the share that had room when runs were last refused, as a factor, until later reports confirm more room. Without
+ * Growth above the share that had capacity when runs were last refused, as a factor, until later reports confirm more capacity. Without
  * this bound the share of a fleet swings further: 0.76 to 0.99 instead of 0.77 to 0.94 of the calls at 1.7 times the load.
  */
 const PROBE_FACTOR = 1.05;
 
-/** Time for which reports must show room until the share may grow further, in milliseconds. */
+/** Time for which reports must show spare capacity until the share may grow further, in milliseconds. */
 const CONFIRM_MILLISECONDS = 500;
 
-/** Time constant of the share that has room while runs are refused, in milliseconds. */
+/** Time constant of the share that has capacity while runs are refused, in milliseconds. */
 const KNOWN_MILLISECONDS = 800;
 
 /** Time without reports after which the share grows, in milliseconds, and that growth per second (exponent). */
@@ -53,7 +53,7 @@
 /** Share of the calls of a route that is always let through, so that a recovery is detected. */
 const MINIMUM_SHARE = 0.1;
 
-/** Share of the calls of each rank that is always let through, since another rank may get room for another reason. */
+/** Share of the calls of each rank that is always let through, since another rank may get capacity for another reason. */
 const MINIMUM_RANK_SHARE = 0.03;
 
 /** Share from which all calls are let through. */
@@ -70,7 +70,7 @@
  *
  * @internal
  */
-export interface RouteRoom {
+export interface RouteShare {
   /** Counts a call that arrived; refused ones count as well. */
   readonly countArrival: (rank: number) => void;
   /**
@@ -86,8 +86,8 @@
   readonly record: (passed: number, now: number) => void;
   /** @returns Time of the last report of refused nested calls, in milliseconds. */
   readonly lowMilliseconds: () => number;
-  /** @returns Time in which there is room for all calls of a rank if the share goes on growing, in milliseconds. */
-  readonly millisecondsToRoom: (rank: number) => number;
+  /** @returns Time in which there is capacity for all calls of a rank if the share goes on growing, in milliseconds. */
+  readonly millisecondsToCapacity: (rank: number) => number;
 }
 
 /**
@@ -95,7 +95,7 @@
  * @returns A route of which all calls are let through.
  * @internal
  */
-export function createRouteRoom(startMilliseconds: number): RouteRoom {
+export function createRouteShare(startMilliseconds: number): RouteShare {
   const mix = createRankMix();
   let share = 1;
   let averageShare = 1;
@@ -106,7 +106,7 @@
   let lowMilliseconds = startMilliseconds;
   let growthPerSecond = 0;
   let knownShare = 1;
-  let roomMilliseconds = Number.POSITIVE_INFINITY;
+  let spareMilliseconds = Number.POSITIVE_INFINITY;
 
   const limit = (wanted: number): number =>
     wanted >= WHOLE_SHARE ? 1 : Math.max(MINIMUM_SHARE, wanted);
@@ -117,17 +117,17 @@
   };
 
   const adapt = (passed: number, elapsed: number, now: number): void => {
-    const room = (passed - FULL_SHARE) / (ROOM_SHARE - FULL_SHARE);
-    if (room > 0) {
-      roomMilliseconds = Math.min(roomMilliseconds, now);
-      const isConfirmed = now - roomMilliseconds >= CONFIRM_MILLISECONDS;
+    const spare = (passed - FULL_SHARE) / (SPARE_SHARE - FULL_SHARE);
+    if (spare > 0) {
+      spareMilliseconds = Math.min(spareMilliseconds, now);
+      const isConfirmed = now - spareMilliseconds >= CONFIRM_MILLISECONDS;
       const before = share;
-      grow(GROWTH_PER_SECOND * Math.min(1, room), elapsed);
+      grow(GROWTH_PER_SECOND * Math.min(1, spare), elapsed);
       if (!isConfirmed) share = Math.min(share, Math.max(before, knownShare * PROBE_FACTOR));
       return;
     }
     growthPerSecond = 0;
-    roomMilliseconds = Number.POSITIVE_INFINITY;
+    spareMilliseconds = Number.POSITIVE_INFINITY;
     const measured = averageShare * passed;
     knownShare += (measured - knownShare) * (1 - Math.exp(-elapsed / KNOWN_MILLISECONDS));
     const target = averageShare ** CONVERGENCE_EXPONENT * passed * HEADROOM_FACTOR;
@@ -159,10 +159,10 @@
       evidence = evidence * weight + 1;
       passedSum = passedSum * weight + report;
       reportedMilliseconds = now;
-      if (report < ROOM_SHARE) lowMilliseconds = now;
+      if (report < SPARE_SHARE) lowMilliseconds = now;
     },
     lowMilliseconds: () => lowMilliseconds,
-    millisecondsToRoom: (rank) => {
+    millisecondsToCapacity: (rank) => {
       if (growthPerSecond === 0) return Number.POSITIVE_INFINITY;
       const growth = Math.log(mix.shareBefore(rank + 1) / share);
       return Math.max(0, (growth / growthPerSecond) * MILLISECONDS_PER_SECOND);
--- a/packages/sidecar/src/lib/entry/spreadRetryAfter.ts
+++ b/packages/sidecar/src/lib/entry/spreadRetryAfter.ts
@@ -16,19 +16,19 @@
 /** Part of the spread by which each rank starts later than the rank before it. */
 const RANK_SHIFT = 0.15;
 
-/** A call that was refused for lack of room. */
+/** A call that was refused for lack of capacity. */
 interface RefusedCall {
   /** Priority rank; 0 is the most urgent. */
   readonly rank: number;
   /** Time that the caller has left, in milliseconds. */
   readonly remainingMilliseconds: number;
-  /** Time until there is probably room, in milliseconds. */
+  /** Time until there is probably capacity, in milliseconds. */
   readonly waitMilliseconds: number;
 }
 
 /**
  * Computes the Retry-After of a call that was refused at its entry. Returning calls are spread evenly over the time in
- * which room is expected, urgent ones earlier, and each within the time that its caller honours.
+ * which capacity is expected, urgent ones earlier, and each within the time that its caller honours.
  *
  * @param random - Source of random numbers.
  * @param call - The refused call.
--- a/packages/sidecar/src/lib/process/SidecarOptions.ts
+++ b/packages/sidecar/src/lib/process/SidecarOptions.ts
@@ -44,7 +44,7 @@
   readonly retries: FleetRetrySettings;
   /** Whether upstreams are chosen by expected work instead of the number of calls. */
   readonly placesByExpectedWork: boolean;
-  /** Whether requests are refused at their entry while calls below them are refused for lack of room. */
+  /** Whether requests are refused at their entry while calls below them are refused for lack of capacity. */
   readonly refusesEarly: boolean;
   /** Time limit of a graceful stop, in milliseconds. */
   readonly stopMilliseconds: number;
--- a/packages/sidecar/src/lib/process/createSidecarMetrics.ts
+++ b/packages/sidecar/src/lib/process/createSidecarMetrics.ts
@@ -14,7 +14,7 @@
 export interface SidecarMetrics {
   readonly countRefusal: (reason: RefusalReason, outcome: Outcome) => void;
   readonly countRetry: (reason: RetryReason) => void;
-  /** Counts a call refused at its entry because calls below it would lack room. */
+  /** Counts a call refused at its entry because calls below it would lack capacity. */
   readonly countEarlyRefusal: (rank: number) => void;
   readonly countPolicyFault: (kind: PolicyFaultKind) => void;
   /** Counts the beginning of a limit because the upstream is cold. */
@@ -63,7 +63,7 @@
   });
   const earlyRefusals = new Counter({
     name: 'buckthornslip_early_refusals_total',
-    help: 'Calls refused at their entry because calls below them would lack room, by priority rank',
+    help: 'Calls refused at their entry because calls below them would lack capacity, by priority rank',
     labelNames: ['rank'],
     registers: [registry],
   });
--- a/packages/sidecar/src/lib/serving/AttemptResult.ts
+++ b/packages/sidecar/src/lib/serving/AttemptResult.ts
@@ -34,10 +34,10 @@
    */
   readonly serviceMilliseconds?: number | undefined;
   /**
-   * Share of the recent calls of the same route there whose nested calls were not refused for lack of room, 0 to 1; undefined if
+   * Share of the recent calls of the same route there whose nested calls were not refused for lack of capacity, 0 to 1; undefined if
    * it is not known.
    */
   readonly nestedShare?: number | undefined;
-  /** Whether the call failed because a call below it was refused for lack of room. */
+  /** Whether the call failed because a call below it was refused for lack of capacity. */
   readonly isNestedRefused?: boolean;
 }
--- a/packages/sidecar/src/lib/serving/createCallServer.test.ts
+++ b/packages/sidecar/src/lib/serving/createCallServer.test.ts
@@ -152,7 +152,7 @@
   shed: { isParent: true, isRefused: true, isShed: true },
 };
 
-// Guards against early refusals for any other cause than lack of room below the run.
+// Guards against early refusals for any other cause than lack of capacity below the run.
 cases.forEach(({ act, name, status, ...expected }) => {
   void t.test(`a run is reported: ${name}`, async (test) => {
     const { close, serve } = await startCallServer(status, nestedCalls[act]);
--- a/packages/sidecar/src/lib/serving/createCallServer.ts
+++ b/packages/sidecar/src/lib/serving/createCallServer.ts
@@ -301,7 +301,7 @@
     const shed = isShed(answer) || (isFailed && tracked.hasShedCall());
     // A run that failed for both reasons counts as shed, because less load would not have let it pass.
     const isNestedRefused = isFailed && !shed && tracked.hasRefusedCall();
-    // A run that its caller gave up says nothing about room, unless it had already been refused some.
+    // A run that its caller gave up says nothing about capacity, unless it had already been refused some.
     if (outcome !== 'cancelled' || isNestedRefused) {
       nestedShares.record({
         route: call.route,
--- a/packages/sidecar/src/lib/serving/createNestedShares.test.ts
+++ b/packages/sidecar/src/lib/serving/createNestedShares.test.ts
@@ -29,7 +29,7 @@
 });
 
 // Guards against memory that grows with every route of every policy.
-void t.test('the number of routes is bounded, and idle ones make room', async (test) => {
+void t.test('the number of routes is bounded, and idle ones are evicted', async (test) => {
   const clock = createFakeClock();
   const shares = createNestedShares(clock);
   for (let index = 0; index < 4_000; index += 1)
--- a/packages/sidecar/src/lib/serving/createNestedShares.ts
+++ b/packages/sidecar/src/lib/serving/createNestedShares.ts
@@ -2,7 +2,7 @@
 
 /**
  * Time constant with which runs are forgotten, in milliseconds; 95% of the weight is on the last second. With 500 ms entry
- * nodes noticed new room half a second later.
+ * nodes noticed new capacity half a second later.
  */
 const MEMORY_MILLISECONDS = 300;
 
@@ -23,12 +23,12 @@
   readonly route: string;
   /** Whether the run made a nested call. */
   readonly isParent: boolean;
-  /** Whether the run failed because a call below it was refused for lack of room. */
+  /** Whether the run failed because a call below it was refused for lack of capacity. */
   readonly isRefused: boolean;
 }
 
 /**
- * Share of the recent runs of the local upstream whose nested calls were not refused for lack of room.
+ * Share of the recent runs of the local upstream whose nested calls were not refused for lack of capacity.
  *
  * @internal
  */
--- a/packages/sidecar/src/lib/serving/createRunningCalls.ts
+++ b/packages/sidecar/src/lib/serving/createRunningCalls.ts
@@ -12,7 +12,7 @@
   readonly recordShedCall: () => void;
   /** Records that a nested call is made. */
   readonly countNestedCall: () => void;
-  /** Records that a nested call, or a call below it, was refused for lack of room. */
+  /** Records that a nested call, or a call below it, was refused for lack of capacity. */
   readonly recordRefusedCall: () => void;
 }
 
@@ -24,7 +24,7 @@
   readonly hasShedCall: () => boolean;
   /** @returns Whether the call has made a nested call. */
   readonly isParent: () => boolean;
-  /** @returns Whether a nested call, or a call below it, was refused for lack of room. */
+  /** @returns Whether a nested call, or a call below it, was refused for lack of capacity. */
   readonly hasRefusedCall: () => boolean;
 }
 
--- a/packages/sidecar/src/lib/testing/simulateNestedLoad.ts
+++ b/packages/sidecar/src/lib/testing/simulateNestedLoad.ts
@@ -50,14 +50,14 @@
   readonly refuse: () => void;
 }
 
-/** Only refused calls show lack of room; late ones may only be long. */
+/** Only refused calls show lack of capacity; late ones may only be long. */
 type Ending = 'served' | 'refused' | 'late';
 
 type Done = (ending: Ending) => void;
 
 /**
  * Simulates entry nodes, a service that calls a second one, which calls the last one 1 to 4 times in a row. Only the last
- * service has limited room, and admits by rank.
+ * service has limited capacity, and admits by rank.
  *
  * @param options - Seed, phases of the load, whether the reports are used, and whether there are nested calls.
  * @returns All requests, and the time of every return of a refused one.
@@ -194,7 +194,7 @@
     const decision = entry.reporting.start({ route, rank, remainingMilliseconds });
     if (decision.kind === 'started') {
       run((isSuccess, isNestedRefused) => decision.finish({ isSuccess, isNestedRefused }));
-    } else if (decision.kind === 'no-room') comeBack(decision.retryAfterMilliseconds);
+    } else if (decision.kind === 'no-capacity') comeBack(decision.retryAfterMilliseconds);
     else comeBack(computeRetryAfter(random, rank, undefined));
   };
 
--- a/packages/telemetry/src/lib/events/sidecarEvents.ts
+++ b/packages/telemetry/src/lib/events/sidecarEvents.ts
@@ -66,7 +66,7 @@
     number: 7010,
     level: 'warn',
     message:
-      'calls are refused at this entry because serving nodes report that calls below them lack room',
+      'calls are refused at this entry because serving nodes report that calls below them lack capacity',
     action: 'Look for the service below the route that lacks capacity.',
   },
   earlyRefusalEnded: {
