--- a/packages/sidecar/src/lib/entry/createEarlyRefusal.ts
+++ b/packages/sidecar/src/lib/entry/createEarlyRefusal.ts
@@ -55,7 +55,7 @@
  * calls that is let through. A route without reports of refused nested calls has no state and is let through.
  *
  * @param options - Clock, random source and logger.
- * @returns An early refusal that lets all calls through.
+ * @returns The decision, which admits all calls until there are reports.
  * @internal
  */
 export function createEarlyRefusal({ clock, logger, random }: EarlyRefusalOptions): EarlyRefusal {
--- a/packages/sidecar/src/lib/evacuation/createEvacuationOrders.ts
+++ b/packages/sidecar/src/lib/evacuation/createEvacuationOrders.ts
@@ -29,7 +29,7 @@
 
 /**
  * Creates a node's knowledge of the evacuated zones. The statement with the newest era and revision of the store counts, from
- * whichever node it comes. A node that hears nothing keeps what it knows.
+ * whichever node it comes. A node without contact keeps its last statement.
  *
  * @param options - Clock, logger, prefix of the keys and retention.
  * @returns The orders, not known yet.
--- a/packages/sidecar/src/lib/policy/createPolicyWatcher.ts
+++ b/packages/sidecar/src/lib/policy/createPolicyWatcher.ts
@@ -98,7 +98,7 @@
   let newest = { revision: 0, confirmed: NEVER, era: store.era() };
   /** Revision of the policy that the store has; undefined if that can't be told, or says nothing about the current one. */
   let storedRevision: number | undefined;
-  /** The older revision of which the log already tells. */
+  /** The older revision that was logged last. */
   let loggedRevision: number | undefined;
   /** Era and revision at which the store was last seen with a policy or without one. */
   let seen: { readonly era: StoreEra; readonly revision: number } | undefined;
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -451,7 +451,7 @@
     regionCheck.start(next);
     directory.announceOrders();
   }
-  // That a starting node has found no orders is no news.
+  // A starting node that has found no orders need not announce that.
   evacuations.changes.pipe(skipWhile(({ size }) => size === 0)).subscribe(directory.announceOrders);
 
   const answerExchange = (fields: ExchangeFields): ExchangeFields => {
