--- a/review/harness-2/fleet.mjs
+++ b/review/harness-2/fleet.mjs
@@ -153,6 +153,13 @@
     // eslint-disable-next-line n/no-process-exit -- the case has ended, and its caller waits for the result
     process.exit(code);
   };
+  // Ends the nodes as well if the case itself is ended or fails unexpectedly.
+  process.once('exit', () => nodes.forEach((node) => node.end()));
+  ['SIGINT', 'SIGTERM'].forEach((name) =>
+    process.once(name, () => {
+      void finish(CASE_IMPOSSIBLE, `the case was ended by ${name}`);
+    }),
+  );
   setTimeout(() => {
     void finish(CASE_IMPOSSIBLE, 'the case took too long');
   }, LONGEST_MS).unref();
