sidecar: a silent upstream gives way to an upstream with an earlier start

What callers would see: an upstream whose host's clock was ahead when its predecessor started is ignored until the node restarts, and its requests are refused.

Cause: isNewer let the later start win for good, also after that upstream had sent nothing for four intervals or had left.

Change: an upstream that has missed its announcements is replaced by any other start. A late announcement of an earlier process may then be believed for a moment; calls name the upstream that must run them, so no other one does.

--- a/packages/sidecar/src/lib/serving/createUpstreamRegistry.test.ts
+++ b/packages/sidecar/src/lib/serving/createUpstreamRegistry.test.ts
@@ -171,3 +171,42 @@
   registry.announce(instance({ sequence: 1, startedMilliseconds: 1_000_000 }));
   test.equal(starts.length, 2);
 });
+
+// Guards against an upstream that is never used because the clock of its host was ahead when its predecessor started.
+void t.test('an earlier start takes the place of a silent one', async (test) => {
+  const { clock, registry, starts } = createRegistry();
+  const ahead = instance({ startedMilliseconds: 900 });
+  const next = instance({ id: 'i-2' as UpstreamId, startedMilliseconds: 200 });
+  registry.announce(ahead);
+  await clock.advance(3_900);
+  test.notOk(registry.announce(next), 'the later start may still be alive');
+  await clock.advance(200);
+  test.ok(registry.announce({ ...next, sequence: 2 }));
+  test.match(registry.current(), { instance: { id: 'i-2' }, state: 'ready' });
+  test.same(starts, ['none to i-1', 'i-1 to i-2']);
+});
+
+// Guards against the same after a planned departure, which ends the announcements as well.
+void t.test('an earlier start takes the place of one that has left or drains', async (test) => {
+  const next = instance({ id: 'i-2' as UpstreamId, startedMilliseconds: 200 });
+  const left = createRegistry();
+  left.registry.announce(instance({ startedMilliseconds: 900 }));
+  left.registry.leave('i-1' as UpstreamId);
+  await left.clock.advance(4_100);
+  test.ok(left.registry.announce(next));
+  const draining = createRegistry();
+  draining.registry.announce(instance({ startedMilliseconds: 900, state: 'draining' }));
+  await draining.clock.advance(4_100);
+  test.ok(draining.registry.announce(next));
+});
+
+// Guards against a late announcement that restores an outdated state of a silent upstream, or an upstream that has left.
+void t.test('a silent upstream is not replaced by its own past', async (test) => {
+  const { clock, registry } = createRegistry();
+  registry.announce(instance({ sequence: 5, slots: 8 }));
+  await clock.advance(4_100);
+  test.notOk(registry.announce(instance({ sequence: 4 })));
+  registry.leave('i-1' as UpstreamId);
+  test.notOk(registry.announce(instance({ sequence: 9 })));
+  test.equal(registry.current()?.state, 'left');
+});
--- a/packages/sidecar/src/lib/serving/createUpstreamRegistry.ts
+++ b/packages/sidecar/src/lib/serving/createUpstreamRegistry.ts
@@ -48,7 +48,8 @@
 
 /**
  * Creates the registry of the local upstream. Announcements may arrive late and out of order; only the newest applies,
- * by start time and sequence.
+ * by start time and sequence. An upstream that has been silent gives way to any other start, because the clock may have
+ * been ahead when it started.
  *
  * @param options - Dependencies and settings.
  * @returns A registry without an upstream.
@@ -66,6 +67,8 @@
   } = options;
   const departures = new Map<UpstreamId, MemberDeparture>();
   let view: UpstreamView | undefined;
+  /** Whether the current upstream has missed its announcements. */
+  let isSilent = false;
   let stopTimer: (() => void) | undefined;
 
   const setView = (next: UpstreamView, cause: string): void => {
@@ -93,9 +96,11 @@
 
   const restartAnnouncementTimer = (): void => {
     stopTimer?.();
-    stopTimer = clock.setTimer(announcementMilliseconds * MISSED_ANNOUNCEMENTS, () =>
-      setLost('announcements-missing'),
-    );
+    isSilent = false;
+    stopTimer = clock.setTimer(announcementMilliseconds * MISSED_ANNOUNCEMENTS, () => {
+      isSilent = true;
+      setLost('announcements-missing');
+    });
   };
 
   const rememberDeparture = (departure: MemberDeparture): void => {
@@ -123,12 +128,17 @@
     else onDeparture(departure);
   };
 
+  const isOutdated = (instance: UpstreamInstance, known: UpstreamInstance): boolean => {
+    if (isSilent && !isSameStart(instance, known)) return false;
+    return !isNewer(instance, known);
+  };
+
   return {
     current: () => view,
     announce: (instance) => {
       const departure = departureOf(instance);
       if (departure?.state === 'left') return false;
-      if (view && !isNewer(instance, view.instance)) return false;
+      if (view && isOutdated(instance, view.instance)) return false;
       // A draining upstream does not become ready again within one start.
       const state = departure ? 'draining' : instance.state;
       if (state === 'draining') rememberDeparture({ ...startOf(instance), state });
