directory: a record without a zone, or under another node's key, is rejected

What could happen: an entry of another writer under any key below our prefix took a node out for the whole fleet, if it named that node with a higher incarnation; a record without zone or region joined a zone without a name.

Cause: createRecordReader did not compare the record with its key, and fromMemberMessage checked only host and peer address.

Change: both are checked where records are read; a rejected entry is logged as recordRejected, as malformed ones were.

--- a/packages/sidecar/src/lib/directory/createRecordReader.ts
+++ b/packages/sidecar/src/lib/directory/createRecordReader.ts
@@ -78,7 +78,8 @@
         if (!mayBeStale || isRecent(listing.value, minimum)) {
           const members = entries.flatMap((entry) => {
             const member = decodeRecord(entry.value);
-            if (member) return [member];
+            // Another writer may have copied a record to another key.
+            if (member && recordKey(member) === entry.key) return [member];
             logger.log('recordRejected', { key: entry.key, revision: entry.revision });
             return [];
           });
--- a/packages/sidecar/src/lib/directory/memberMessages.ts
+++ b/packages/sidecar/src/lib/directory/memberMessages.ts
@@ -46,22 +46,23 @@
 
 /**
  * @param message - A member record in wire form.
- * @returns The record, or undefined if it names no host or no usable address, or has a number out of range. An unknown
- *   state of a later release is read as "starting".
+ * @returns The record, or undefined if it lacks a host, zone, region or usable address, or has a number out of range. An
+ *   unknown state of a later release is read as "starting".
  * @internal
  */
 export function fromMemberMessage(message: channelMessages.Member): Member | undefined {
-  if (message.host === '' || !isAddress(message.peerAddress)) return undefined;
+  const { host, peerAddress, region, zone } = message;
+  if (host === '' || region === '' || zone === '' || !isAddress(peerAddress)) return undefined;
   if (!isCount(message.incarnation, recordLimits.incarnation)) return undefined;
   if (!isCount(message.version, recordLimits.version)) return undefined;
   return {
-    host: message.host as HostId,
+    host: host as HostId,
     incarnation: message.incarnation as Incarnation,
     version: message.version,
     service: message.service === '' ? undefined : (message.service as ServiceId),
-    region: message.region as RegionId,
-    zone: message.zone as ZoneId,
-    peerAddress: message.peerAddress,
+    region: region as RegionId,
+    zone: zone as ZoneId,
+    peerAddress,
     controlAddress: message.controlAddress,
     slots: message.slots,
     connections: message.connections,
--- a/packages/sidecar/src/lib/directory/memberRecords.test.ts
+++ b/packages/sidecar/src/lib/directory/memberRecords.test.ts
@@ -1,8 +1,12 @@
 import type { HostId, Incarnation, RegionId, ServiceId, ZoneId } from '@buckthornslip/common';
+import { createFakeClock } from '@buckthornslip/common';
 import type { Member } from '@buckthornslip/membership';
+import { createMemoryStore } from '@buckthornslip/platform';
+import { createSilentLogger } from '@buckthornslip/telemetry';
 import fc from 'fast-check';
 import t from 'tap';
 
+import { createRecordReader, recordKey } from './createRecordReader';
 import { fromMemberMessage, toMemberMessage } from './memberMessages';
 import { encodeRecord } from './memberRecord';
 import { parseMember } from './parseMember';
@@ -87,3 +91,27 @@
   );
   test.pass('no input threw');
 });
+
+// Guards against a node that is counted in a zone without a name, whose relays would be other ones.
+void t.test('a record without host, zone or region is rejected', async (test) => {
+  for (const name of ['host', 'zone', 'region'] as const) {
+    test.equal(parseMember({ ...member, [name]: '' }), undefined, `stored: ${name}`);
+    const message = { ...toMemberMessage(member), [name]: '' };
+    test.equal(fromMemberMessage(message), undefined, `received: ${name}`);
+  }
+});
+
+// Guards against a node that drops out for good because another writer's entry names it with a higher incarnation.
+void t.test('a record under the key of another node is rejected', async (test) => {
+  const store = createMemoryStore({ clock: createFakeClock() });
+  const forged = { ...member, incarnation: 9 as Incarnation, state: 'left' as const };
+  await store.compareAndSwap(recordKey(member), 0, encodeRecord(member));
+  await store.compareAndSwap('buckthornslip/nodes/zone/other', 0, encodeRecord(forged));
+  await store.compareAndSwap('buckthornslip/nodes/zone', 0, encodeRecord(forged));
+  await store.compareAndSwap('buckthornslip/nodes/zone/bytes', 0, Buffer.from([255, 0, 255]));
+  const logger = createSilentLogger();
+  const listing = await createRecordReader({ clock: createFakeClock(), store, logger }).read(
+    undefined,
+  );
+  test.same(listing?.members, [member]);
+});
