sidecar: an acknowledged departure outlives the end of all processes

Cause: the departure was kept in the memory of processes and written to the store only by chance, since a record is written at the start and after a lost lease. A process that replaced the record of an earlier one did not read it.

Change: a departure is written to the store once, when the upstream begins to drain or leaves, whichever comes first, and is acknowledged when the store has accepted it or after 0.6 s (departureNotSaved, 7108). Until the store has it the write is repeated. A process that finds the record of an earlier one takes its departure over before it replaces it, and does not use an upstream until then, or for 1.5 s. What is not promised: a departure is forgotten if all processes end while the store is away, or has been restored from an older copy, before it was written again. It costs one write of the store for each departure.

--- a/packages/sidecar/src/lib/directory/MemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/MemberDirectory.ts
@@ -24,8 +24,18 @@
    *   it can't tell what it is responsible for.
    */
   readonly whenInformed: () => Promise<void>;
-  /** Changes this node's record and sends it to the other nodes. */
+  /** Changes this node's record and sends it to the other nodes. A new departure is written to the store as well. */
   readonly update: (change: SelfUpdate) => void;
+  /**
+   * @returns A promise that resolves when the store has accepted the last departure, with true, or after a limited time, with
+   *   false. The store is still asked to accept it then.
+   */
+  readonly whenDepartureSaved: () => Promise<boolean>;
+  /**
+   * @returns A promise that resolves when this node has read what an earlier process of it has written to the store, or after a
+   *   limited time.
+   */
+  readonly whenDeparturesKnown: () => Promise<void>;
   /** Passes the revision of the current policy and the evacuated zones on, if this node is a relay. */
   readonly announceOrders: () => void;
   /** @returns Position of this node among the relays of its zone, as a part of their number; 1 if it is no relay. */
--- a/packages/sidecar/src/lib/directory/createMemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/createMemberDirectory.ts
@@ -21,10 +21,11 @@
 import { createZoneRelays } from './createZoneRelays';
 import type { DirectoryMessage } from './DirectoryMessage';
 import type { DirectoryPeers } from './DirectoryPeers';
+import { isSameStart } from '../serving/isSameStart';
 import { isNewerRecord } from './isNewerRecord';
 import { directoryTimes } from './directoryTimes';
 import type { MemberDirectory } from './MemberDirectory';
-import { encodeRecord } from './memberRecord';
+import { decodeRecord, encodeRecord } from './memberRecord';
 import { memoizeByRevision } from './memoizeByRevision';
 import { rewriteSpread } from './rewriteSpread';
 import type { StorePosition } from './StorePosition';
@@ -100,6 +101,12 @@
   const informed = new Promise<void>((resolve) => {
     resolveInformed = resolve;
   });
+  let resolveDeparturesKnown = (): void => undefined;
+  const departuresKnown = new Promise<void>((resolve) => {
+    resolveDeparturesKnown = resolve;
+  });
+  /** The departure that was last given to the store. */
+  let savedDeparture: MemberDeparture | undefined;
   let isClosed = false;
   let wasRegistered = false;
   let lastContactMilliseconds = clock.monotonicMilliseconds();
@@ -449,8 +456,13 @@
     logger,
     key: recordKey(self),
     value: () => encodeRecord(self),
+    onEarlierValue: (value) => {
+      const earlier = decodeRecord(value);
+      if (earlier && isSelf(earlier)) applyRecord(earlier, 'store', false);
+    },
     rewriteDelayMilliseconds: () => random.next() * rewriteSpread(nodeCount()),
     onWritten: (position) => {
+      resolveDeparturesKnown();
       restores.begin(position.era);
       // Other nodes may have removed this one after its earlier record expired; only a newer record restores it.
       if (wasRegistered) void changeSelf({});
@@ -463,6 +475,19 @@
     registration.rewrite(era);
   }
 
+  /** One write for each departure: the store's record shows that the upstream is leaving, whether it drains or has left. */
+  const saveDeparture = (departure: MemberDeparture): void => {
+    if (savedDeparture && isSameStart(savedDeparture, departure)) return;
+    savedDeparture = departure;
+    registration.save();
+  };
+
+  const whenDepartureSaved = (): Promise<boolean> =>
+    Promise.race([
+      registration.whenSaved().then(() => true),
+      clock.sleep(directoryTimes.departureSaveTimeout).then(() => false),
+    ]);
+
   const partnersOf = createExchangePartners(random, {
     isRelay,
     isInZone,
@@ -510,8 +535,13 @@
     whenInformed: () => informed,
     start: () => {
       lastContactMilliseconds = clock.monotonicMilliseconds();
-      if (options.isFirstStart) resolveInformed();
-      else void informAfterRestart();
+      if (options.isFirstStart) {
+        resolveInformed();
+        resolveDeparturesKnown();
+      } else {
+        void informAfterRestart();
+        clock.setTimer(directoryTimes.informedTimeout, resolveDeparturesKnown);
+      }
       registration.start();
       duty.start(() => {
         void readAllZones();
@@ -520,7 +550,10 @@
     },
     update: (change) => {
       void changeSelf(change);
+      if (change.departure) saveDeparture(change.departure);
     },
+    whenDepartureSaved,
+    whenDeparturesKnown: () => departuresKnown,
     announceOrders: () => {
       if (!isRelay() && !duty.isStandIn()) return;
       // A stand-in tells its relays, which pass the orders on.
--- a/packages/sidecar/src/lib/directory/createNodeRegistration.test.ts
+++ b/packages/sidecar/src/lib/directory/createNodeRegistration.test.ts
@@ -17,6 +17,7 @@
     key: KEY,
     value: () => Buffer.from('record'),
     rewriteDelayMilliseconds: () => 0,
+    onEarlierValue: () => undefined,
     onWritten: () => undefined,
   });
   return { clock, registration, store };
--- a/packages/sidecar/src/lib/directory/createNodeRegistration.ts
+++ b/packages/sidecar/src/lib/directory/createNodeRegistration.ts
@@ -3,6 +3,7 @@
 import type { Store, StoreEra, StoreError, StoreLease } from '@buckthornslip/platform';
 import { NO_STORE_ERA } from '@buckthornslip/platform';
 import type { EventLogger } from '@buckthornslip/telemetry';
+import { BehaviorSubject, filter, firstValueFrom } from 'rxjs';
 
 import { directoryTimes } from './directoryTimes';
 import type { StorePosition } from './StorePosition';
@@ -17,6 +18,8 @@
   readonly logger: EventLogger;
   /** @returns Delay before the record is written again in a new era of the store, in milliseconds. */
   readonly rewriteDelayMilliseconds: () => number;
+  /** Called with the value that is about to be replaced by the first write of this process or of a new lease. */
+  readonly onEarlierValue: (value: Uint8Array) => void;
   /** Called with the position of the record each time it has been written under a new lease. */
   readonly onWritten: (position: StorePosition) => void;
 }
@@ -30,6 +33,10 @@
   readonly start: () => void;
   /** Writes the record again under a new lease, after a delay, unless it has been written in that era of the store. */
   readonly rewrite: (era: StoreEra) => void;
+  /** Writes the present value under the present lease, as soon as the store accepts it. */
+  readonly save: () => void;
+  /** @returns A promise that resolves when the store has accepted all values that were to be saved. */
+  readonly whenSaved: () => Promise<void>;
   readonly deregister: () => Promise<void>;
   readonly close: () => void;
 }
@@ -49,11 +56,14 @@
  * @internal
  */
 export function createNodeRegistration(options: NodeRegistrationOptions): NodeRegistration {
-  const { clock, key, logger, onWritten, rewriteDelayMilliseconds, store, value } = options;
+  const { clock, key, logger, onEarlierValue, onWritten, rewriteDelayMilliseconds, store, value } =
+    options;
   let record: WrittenRecord | undefined;
   let requestedEra = NO_STORE_ERA;
   let isClosed = false;
   let isReachable = true;
+  /** Number of values that were to be saved, and how many of them the store has accepted. */
+  const saves$ = new BehaviorSubject({ requested: 0, accepted: 0 });
   /** The write in progress, which a departing node has to wait for. */
   let writing: Promise<unknown> = Promise.resolve();
   const closing = new AbortController();
@@ -77,15 +87,28 @@
     return read.ok ? success(read.value?.revision ?? 0) : read;
   };
 
-  const put = async (
+  const isSaved = (): boolean => saves$.value.accepted === saves$.value.requested;
+
+  const putOnce = async (
     { era, id }: StoreLease,
     expectedRevision: number,
   ): ReturnType<Store['compareAndSwap']> => {
-    const first = await store.compareAndSwap(key, expectedRevision, value(), id, era);
+    const accepted = saves$.value.requested;
+    const written = await store.compareAndSwap(key, expectedRevision, value(), id, era);
+    if (written.ok) saves$.next({ ...saves$.value, accepted });
+    return written;
+  };
+
+  const put = async (
+    lease: StoreLease,
+    expectedRevision: number,
+  ): ReturnType<Store['compareAndSwap']> => {
+    const first = await putOnce(lease, expectedRevision);
     if (first.ok || first.error.kind !== 'conflict') return first;
     // The key holds the record of an earlier process on this host; replace it.
-    const revision = first.error.current?.revision ?? 0;
-    return store.compareAndSwap(key, revision, value(), id, era);
+    const { current } = first.error;
+    if (current) onEarlierValue(current.value);
+    return putOnce(lease, current?.revision ?? 0);
   };
 
   const writeOnce = async (isRestored: boolean): Promise<Result<unknown, StoreError>> => {
@@ -103,12 +126,26 @@
     return written;
   };
 
-  const write = (isRestored: boolean): Promise<Result<unknown, StoreError>> => {
-    const result = writeOnce(isRestored);
+  /** Keeps the result of a write, for a departing node to wait for. */
+  const track = (result: Promise<Result<unknown, StoreError>>): typeof result => {
     writing = result;
     return result;
   };
 
+  const write = (isRestored: boolean): Promise<Result<unknown, StoreError>> =>
+    track(writeOnce(isRestored));
+
+  /** Writes a value that is to be saved under the present lease. */
+  const update = async ({
+    lease,
+    revision,
+  }: WrittenRecord): Promise<Result<unknown, StoreError>> => {
+    const written = await put(lease, revision);
+    if (written.ok) record = { lease, revision: written.value, era: lease.era };
+    else if (written.error.kind === 'lease-not-found' && !isOutdated()) record = undefined;
+    return written;
+  };
+
   const renew = async ({ era, lease }: WrittenRecord): Promise<Result<unknown, StoreError>> => {
     const renewed = await store.keepAlive(lease.id, era);
     if (renewed.ok || renewed.error.kind !== 'lease-not-found') return renewed;
@@ -128,7 +165,8 @@
 
   const step = (): Promise<Result<unknown, StoreError>> => {
     if (record === undefined) return write(false);
-    return isOutdated() ? rewriteLater() : renew(record);
+    if (isOutdated()) return rewriteLater();
+    return isSaved() ? renew(record) : track(update(record));
   };
 
   const run = async (): Promise<void> => {
@@ -141,7 +179,7 @@
       const pause = result.ok ? directoryTimes.renewalInterval : directoryTimes.retryDelay;
       // A write whose new lease is not found either would otherwise be repeated without a pause.
       const isRenewalLost = isLeaseLost && written !== undefined;
-      const isRewritten = isRenewalLost || (result.ok && isOutdated());
+      const isRewritten = isRenewalLost || (result.ok && (isOutdated() || !isSaved()));
       pausing = new AbortController();
       if (!isRewritten) await clock.sleep(pause, pausing.signal);
     }
@@ -155,6 +193,13 @@
       if (era > requestedEra) requestedEra = era;
       if (isOutdated()) pausing.abort();
     },
+    save: () => {
+      saves$.next({ ...saves$.value, requested: saves$.value.requested + 1 });
+      pausing.abort();
+    },
+    whenSaved: async () => {
+      await firstValueFrom(saves$.pipe(filter(isSaved)));
+    },
     deregister: async () => {
       isClosed = true;
       closing.abort();
--- a/packages/sidecar/src/lib/directory/directoryTimes.ts
+++ b/packages/sidecar/src/lib/directory/directoryTimes.ts
@@ -14,6 +14,8 @@
   firstRoleDelay: 1_000,
   /** Time after a restart after which a node acts on the nodes it knows, even if it has not read the records of the others. */
   informedTimeout: 1_500,
+  /** Longest wait of an acknowledgement for the store; a departing upstream waits for a second in all. */
+  departureSaveTimeout: 600,
   /** Delay before a policy is fetched from another zone, because the relays usually read it from the store. */
   remotePolicyDelay: 600,
   /** Time without contact after which a node that has no record in the store is removed. */
--- a/packages/sidecar/src/lib/process/Sidecar.ts
+++ b/packages/sidecar/src/lib/process/Sidecar.ts
@@ -13,5 +13,10 @@
   /** @returns Undefined if the node is ready for callers, otherwise the reason why it is not. */
   readonly notReadyReason: () => string | undefined;
   readonly upstream: UpstreamRegistry;
+  /**
+   * @returns A promise that resolves when the departure of the upstream outlives the end of all processes, or after a limited
+   *   time, before its acknowledgement is due.
+   */
+  readonly whenDepartureSaved: () => Promise<void>;
   readonly metrics: SidecarMetrics;
 }
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -248,8 +248,13 @@
     onChange: () => applyPermission(),
     onOwnZoneRestored: coldLimit.startAfterEvacuation,
   });
-  const memberStateOf = ({ state }: UpstreamView): MemberState =>
-    gate.memberState(state === 'lost' ? 'starting' : state);
+  /** Whether an earlier process of this node may have acknowledged a departure that this one does not know. */
+  let mayHaveDeparted = true;
+  const usableState = ({ state }: UpstreamView): MemberState => {
+    if (state === 'lost') return 'starting';
+    return state === 'ready' && mayHaveDeparted ? 'starting' : state;
+  };
+  const memberStateOf = (view: UpstreamView): MemberState => gate.memberState(usableState(view));
   const applyCapacity = (view: UpstreamView): void => {
     const { coldStartMilliseconds, slots } = view.instance;
     admission.setCapacity({
@@ -299,6 +304,16 @@
     });
   }
 
+  /** Puts an upstream in use that was announced while its earlier departure could not be ruled out. */
+  async function awaitDepartures(): Promise<void> {
+    await directory.whenDeparturesKnown();
+    mayHaveDeparted = false;
+    const view = upstream.current();
+    if (!view || isStopping) return;
+    applyCapacity(view);
+    announceUpstream(view);
+  }
+
   function restoreDeparture(departure: MemberDeparture): void {
     upstream.restoreDeparture(departure);
   }
@@ -529,6 +544,10 @@
   return {
     upstream,
     metrics,
+    whenDepartureSaved: async () => {
+      if (await directory.whenDepartureSaved()) return;
+      logger.log('departureNotSaved', { upstream: upstream.current()?.instance.id });
+    },
     notReadyReason: () => {
       if (isStopping) return 'stopping';
       return policy.current() ? undefined : 'no policy in force';
@@ -548,6 +567,7 @@
       });
       await Promise.all([peerListener.listen(listeners.peers), callers.listen(listeners.callers)]);
       directory.start();
+      void awaitDepartures();
       coldProbe.start();
       logger.log('processStarted', { host, incarnation, region, zone, service });
     },
--- a/packages/sidecar/src/lib/testing/createDirectoryFleet.ts
+++ b/packages/sidecar/src/lib/testing/createDirectoryFleet.ts
@@ -250,7 +250,10 @@
         if (follows) followers.add(host);
         else followers.delete(host);
       },
-      onEarlierDeparture: (departure) => earlierDepartures.set(host, departure),
+      onEarlierDeparture: (departure) => {
+        earlierDepartures.set(host, departure);
+        directories.get(host)?.update({ departure });
+      },
       onStoreRestored: () => restoresSeen.set(host, (restoresSeen.get(host) ?? 0) + 1),
     });
     directories.set(host, directory);
--- a/packages/telemetry/src/lib/events/sidecarEvents.ts
+++ b/packages/telemetry/src/lib/events/sidecarEvents.ts
@@ -86,6 +86,12 @@
     message: 'call refused because upstreams crashed while equal calls were running',
   },
   upstreamDeparted: { number: 7104, level: 'info', message: 'departure of an upstream received' },
+  departureNotSaved: {
+    number: 7108,
+    level: 'warn',
+    message:
+      'departure acknowledged before the store has accepted it; it is forgotten if all nodes end now',
+  },
   upstreamLimitChanged: {
     number: 7102,
     level: 'info',
