directory: a node that sends first tells a restarted node of its upstream's departure

Cause: a node tells a restarted one of its earlier departure when it is sent a message by it. If it sends first, or hears of the restart from a relay, the new record replaces the earlier one and the departure is gone.

Evidence: departureAfterKill.test.ts, "a node that sends first tells of the departure", failed before the change, on a restarted node that the store turns away.

Change: the earlier record is sent as soon as it is replaced.

--- a/packages/sidecar/src/lib/directory/createMemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/createMemberDirectory.ts
@@ -273,6 +273,10 @@
     void changeSelf({ incarnation });
   };
 
+  /** @returns The known record of a host if its upstream departed, of which a later process of that host has to be told. */
+  const departedOf = (known: Member | undefined): readonly Member[] =>
+    known?.departure === undefined ? [] : [known];
+
   const applyRecord = (member: Member, source: string, passesOn: boolean): void => {
     if (isSelf(member)) {
       if (member.departure && member.incarnation !== self.incarnation) {
@@ -294,7 +298,7 @@
     const { host, incarnation, service, state, version } = member;
     logger.log('memberChanged', { host, incarnation, service, state, version, source });
     const isNew = known?.incarnation !== member.incarnation;
-    if (isNew && !isFirstHand && isInZone(member)) void sendUpdate(member, []);
+    if (isNew && !isFirstHand && isInZone(member)) void sendUpdate(member, departedOf(known));
   };
 
   const countFailure = (member: Member): void => {
@@ -335,6 +339,9 @@
     }
   };
 
+  const hasRestartedAfterDeparture = (from: Member, known: Member): boolean =>
+    known.departure !== undefined && known.incarnation !== from.incarnation;
+
   async function request(
     member: Member,
     sent: DirectoryMessage,
@@ -342,7 +349,11 @@
     const sentMilliseconds = clock.monotonicMilliseconds();
     const answer = await peers.exchange(member.peerAddress, sent);
     if (isClosed || !answer) return undefined;
+    const known = table.get(answer.from.host);
     applyMessage(answer);
+    if (known && hasRestartedAfterDeparture(answer.from, known)) {
+      void sendUpdate(answer.from, [known]);
+    }
     // Only an answer bounds the time that a message has taken, and so the age of what it says.
     const roundTripMilliseconds = clock.monotonicMilliseconds() - sentMilliseconds;
     onPolicyKnowledge(policyKnowledgeOf(answer, roundTripMilliseconds));
@@ -518,10 +529,8 @@
    * A node is told of the known record of its host if that is newer, because it has to raise its incarnation, or if it is of
    * an earlier process with a departed upstream.
    */
-  const isToldOfEarlier = (from: Member, known: Member): boolean => {
-    if (isNewerRecord(known, from)) return true;
-    return known.departure !== undefined && known.incarnation !== from.incarnation;
-  };
+  const isToldOfEarlier = (from: Member, known: Member): boolean =>
+    isNewerRecord(known, from) || hasRestartedAfterDeparture(from, known);
 
   return {
     self: () => self,
--- a/packages/sidecar/src/lib/directory/departureAfterKill.test.ts
+++ b/packages/sidecar/src/lib/directory/departureAfterKill.test.ts
@@ -1,4 +1,4 @@
-import type { UpstreamId } from '@buckthornslip/common';
+import type { UpstreamId, ZoneId } from '@buckthornslip/common';
 import type { MemberDeparture } from '@buckthornslip/membership';
 import t from 'tap';
 
@@ -75,6 +75,22 @@
   test.same(fleet.earlierDepartures.get('b'), LEFT);
 });
 
+// Guards against a node that contacts a restarted one, replaces its record and does not tell it of the departure.
+void t.test('a node that sends first tells of the departure', async (test) => {
+  const fleet = createDirectoryFleet(SEED);
+  fleet.start('a', undefined, 'east' as ZoneId);
+  fleet.start('b', undefined, 'west' as ZoneId);
+  await fleet.clock.advance(2_000);
+  fleet.get('b').update({ state: 'left', departure: LEFT });
+  await fleet.clock.advance(100);
+  fleet.end('b');
+  // The restarted node reads nothing in the store and knows no other node, so it can't send first.
+  fleet.turnedAway.set('b', 'refused');
+  fleet.start('b', undefined, 'west' as ZoneId);
+  await fleet.clock.advance(3_000);
+  test.same(fleet.earlierDepartures.get('b'), LEFT);
+});
+
 // Guards against a write to the store for each announcement of a draining upstream.
 void t.test('a departure is written to the store once', async (test) => {
   const { fleet } = await startFleet();
