sidecar: the draining of an upstream that is not in use is binding

What callers could see: new work for an upstream whose draining had been acknowledged.

Cause: the registry remembered "draining" only of announcements that took effect.

Evidence: createUpstreamRegistry.test.ts, "the draining of an upstream that is not in use is binding", failed before the change.

Change: it is remembered before the announcement is compared with the upstream in use.

--- a/packages/sidecar/src/lib/serving/createUpstreamRegistry.test.ts
+++ b/packages/sidecar/src/lib/serving/createUpstreamRegistry.test.ts
@@ -210,3 +210,13 @@
   test.notOk(registry.announce(instance({ sequence: 9 })));
   test.equal(registry.current()?.state, 'left');
 });
+
+// Guards against an upstream that is used after its draining was acknowledged, because a later start was in use at that time.
+void t.test('the draining of an upstream that is not in use is binding', async (test) => {
+  const { clock, registry } = createRegistry();
+  registry.announce(instance({ id: 'i-2' as UpstreamId, startedMilliseconds: 900 }));
+  registry.announce(instance({ sequence: 5, state: 'draining' }));
+  await clock.advance(4_100);
+  registry.announce(instance({ sequence: 4 }));
+  test.match(registry.current(), { instance: { id: 'i-1' }, state: 'draining' });
+});
--- a/packages/sidecar/src/lib/serving/createUpstreamRegistry.ts
+++ b/packages/sidecar/src/lib/serving/createUpstreamRegistry.ts
@@ -138,10 +138,13 @@
     announce: (instance) => {
       const departure = departureOf(instance);
       if (departure?.state === 'left') return false;
+      // The sender takes it for acknowledged, whether it is the upstream in use or not.
+      if (instance.state === 'draining') {
+        rememberDeparture({ ...startOf(instance), state: 'draining' });
+      }
       if (view && isOutdated(instance, view.instance)) return false;
       // A draining upstream does not become ready again within one start.
       const state = departure ? 'draining' : instance.state;
-      if (state === 'draining') rememberDeparture({ ...startOf(instance), state });
       const previous = view?.instance;
       onAnnouncement(instance);
       setView({ instance, state }, 'announcement');
