sidecar: a stopping node does not accept calls that it would cut off

Cause: in the last phase of a shutdown every call of the local upstream was accepted until the listener closed, 0.8 s before the end, however long it may take, and on open connections even after that.

Change: such a call is accepted if its timeout, or one and a half times what the slower answered calls of its route take, ends 0.3 s before the process closes its connections. Otherwise it gets 503 before it has been sent to any upstream, so that "not run" is true.

--- a/packages/sidecar/src/lib/entry/EntryOptions.ts
+++ b/packages/sidecar/src/lib/entry/EntryOptions.ts
@@ -12,6 +12,7 @@
 import type { CallProtocol } from '../protocol/CallProtocol';
 import type { CallServer } from '../serving/createCallServer';
 import type { SidecarMetrics } from '../process/createSidecarMetrics';
+import type { StopBound } from '../process/createStopBound';
 import type { ServiceRetryBudget } from './createServiceRetryBudget';
 
 /**
@@ -51,4 +52,6 @@
   readonly isStopping: () => boolean;
   /** @returns Whether the shutdown has reached the phase in which only calls of the local upstream are accepted. */
   readonly refusesCallers: () => boolean;
+  /** Tells which of those calls end before the process. */
+  readonly stopBound: Pick<StopBound, 'fits' | 'observe'>;
 }
--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -14,6 +14,7 @@
 import { createRouteTable } from '../policy/createRouteTable';
 import { createPriorityRanks } from '../policy/createPriorityRanks';
 import { createSidecarMetrics } from '../process/createSidecarMetrics';
+import { createStopBound } from '../process/createStopBound';
 import { createRunningCalls } from '../serving/createRunningCalls';
 import type { CallAttempt } from '../serving/CallAttempt';
 import { createEntry } from './createEntry';
@@ -63,9 +64,11 @@
 
 async function startEntry(
   serve: EntryOptions['callServer']['serve'],
-  { refusesCallers = false, policyMilliseconds = 0 } = {},
+  { refusesCallers = false, policyMilliseconds = 0, stopMilliseconds = Infinity } = {},
 ) {
   const clock = createFakeClock();
+  const stopBound = createStopBound(clock);
+  stopBound.start(clock.monotonicMilliseconds() + stopMilliseconds);
   const policy = createPolicy();
   const policyTime = clock.monotonicMilliseconds() + policyMilliseconds;
   const random = createSeededRandom(1);
@@ -134,6 +137,7 @@
     uploadBytes: 33_554_432,
     isStopping: () => refusesCallers,
     refusesCallers: () => refusesCallers,
+    stopBound,
   });
   const server = createServer((request: IncomingMessage, response: ServerResponse) => {
     void entry.handle(request, response);
@@ -370,6 +374,29 @@
   close();
 });
 
+// Guards against a call that is accepted so late in a shutdown that it runs and its answer is cut off.
+void t.test('late in a shutdown a call that may outlive the node is not run', async (test) => {
+  let runs = 0;
+  const { clock, close, running, send } = await startEntry(
+    async () => {
+      runs += 1;
+      return answered();
+    },
+    { refusesCallers: true, stopMilliseconds: 1_000 },
+  );
+  const now = clock.monotonicMilliseconds();
+  const parent = { requestId: 'parent', rank: 1, chargedAccount: undefined, isRepeat: false };
+  running.add(parent, now, now + 9_000);
+  test.equal(await send('/inner/1', { timeout: '5000' }), 503);
+  test.equal(runs, 0);
+  test.equal(await send('/inner/1', { timeout: '400' }), 200, 'it ends by its timeout');
+  test.equal(await send('/inner/1', { timeout: '5000' }), 200, 'it is known to be quick');
+  await clock.advance(750);
+  test.equal(await send('/inner/1', { timeout: '400' }), 503);
+  test.equal(runs, 2);
+  close();
+});
+
 // Guards against a node that missed an upstream's departure and keeps sending calls there.
 void t.test('a node that refuses because of its state is asked for its record', async (test) => {
   const reasons = ['queue-timeout', 'no-upstream'] as const;
--- a/packages/sidecar/src/lib/entry/createEntry.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.ts
@@ -5,13 +5,11 @@
 import type { AccountId, RefusalReason } from '@buckthornslip/common';
 import type { PolicyRoute } from '@buckthornslip/config';
 
-import { DEFAULT_TIMEOUT_MILLISECONDS } from './DEFAULT_TIMEOUT_MILLISECONDS';
 import { createBodyBudget } from '../http/createBodyBudget';
 import { createPiecePacer } from '../http/createPiecePacer';
 import { readRequestBody } from '../http/readRequestBody';
 import { writeResponse } from '../http/writeResponse';
 import { regionsInForce } from '../policy/regionsInForce';
-import type { RequestHead } from '../protocol/RequestHead';
 import { createForwarder } from './createForwarder';
 import type { AcceptedRequest } from './AcceptedRequest';
 import { createRequestAcceptor } from './createRequestAcceptor';
@@ -21,6 +19,7 @@
 import type { ForwardResult } from './ForwardResult';
 import { computeRetryAfter } from './computeRetryAfter';
 import { isCapacityRefusal } from './isCapacityRefusal';
+import { timeoutOf } from './timeoutOf';
 import { writeRefusal } from './writeRefusal';
 
 /** Handles the requests of callers and of the local upstream. */
@@ -61,13 +60,6 @@
   return { answer, attempts: 0, host: undefined };
 }
 
-function timeoutOf(head: RequestHead, route: PolicyRoute): number {
-  return Math.min(
-    head.timeoutMilliseconds ?? DEFAULT_TIMEOUT_MILLISECONDS,
-    route.timeoutMilliseconds ?? DEFAULT_TIMEOUT_MILLISECONDS,
-  );
-}
-
 /**
  * Creates the entry side of a node.
  *
@@ -261,6 +253,7 @@
     const { account, entry } = accepted.value;
     const { answer, attempts, host } = result;
     metrics.observeCall(entry.route.name, status, milliseconds);
+    if (answer.kind === 'answer') options.stopBound.observe(entry.route.name, milliseconds);
     logger.log(isSuccess(answer) ? 'callAnswered' : 'callFailedFinally', {
       requestId: head.requestId,
       route: entry.route.name,
--- a/packages/sidecar/src/lib/entry/createRequestAcceptor.ts
+++ b/packages/sidecar/src/lib/entry/createRequestAcceptor.ts
@@ -11,6 +11,7 @@
 import type { AcceptedRequest } from './AcceptedRequest';
 import { DEFAULT_TIMEOUT_MILLISECONDS } from './DEFAULT_TIMEOUT_MILLISECONDS';
 import type { EntryOptions } from './EntryOptions';
+import { timeoutOf } from './timeoutOf';
 
 /** Routes and authenticates requests according to the current policy. */
 export interface RequestAcceptor {
@@ -29,7 +30,7 @@
  * @internal
  */
 export function createRequestAcceptor(options: EntryOptions): RequestAcceptor {
-  const { clock, policy } = options;
+  const { clock, policy, stopBound } = options;
 
   const authenticate = (
     current: CallPolicy,
@@ -42,6 +43,15 @@
     return account ? success(account) : failure(refuse('key-unknown'));
   };
 
+  /**
+   * A call that starts late in a shutdown could be interrupted by its end. Those of the local upstream are accepted if they end
+   * before, because calls that run there need them.
+   */
+  const isServedLate = (route: PolicyRoute, head: RequestHead, isNested: boolean): boolean => {
+    if (!isNested || options.running.isEmpty()) return false;
+    return stopBound.fits({ route: route.name, timeoutMilliseconds: timeoutOf(head, route) });
+  };
+
   const findParent = (route: PolicyRoute, head: RequestHead): RunningParent | undefined =>
     options.running.findParent({
       route: route.name,
@@ -64,10 +74,8 @@
     // Callers and the local upstream connect from the same address. An upstream sends no key, and callers rarely use
     // open routes.
     const isNested = entry.route.access === 'open' && head.key === undefined;
-    // A call that starts late in a shutdown could be interrupted by its end. Those of the local upstream are accepted, because
-    // calls that run there need them.
-    const mayBeNested = isNested && !options.running.isEmpty();
-    if (!mayBeNested && options.refusesCallers()) return failure(refuse('node-stopping'));
+    if (options.refusesCallers() && !isServedLate(entry.route, head, isNested))
+      return failure(refuse('node-stopping'));
     const parent = isNested ? findParent(entry.route, head) : undefined;
     const ownRank = options.priorityRanks()?.rankOf(account.value, entry.route) ?? 0;
     // A nested call with an unknown parent may belong to an urgent call, and its parent has already used resources.
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -58,6 +58,7 @@
 import { createCallerListener } from './createCallerListener';
 import { createLagMonitor } from './createLagMonitor';
 import { createSidecarMetrics } from './createSidecarMetrics';
+import { createStopBound } from './createStopBound';
 import { drainServer, ACCEPTING_WHILE_STOPPING_MILLISECONDS } from './drainServer';
 import { linkBudget } from './linkBudget';
 import type { Sidecar } from './Sidecar';
@@ -424,6 +425,7 @@
     }),
     logger,
   });
+  const stopBound = createStopBound(clock);
   const entry = createEntry({
     clock,
     random,
@@ -450,6 +452,7 @@
     uploadBytes: options.connectionLimits.uploadBytes,
     isStopping: () => isStopping,
     refusesCallers: () => refusesCallers,
+    stopBound,
   });
 
   const callers = createCallerListener(logger, entry.handle, {
@@ -532,6 +535,7 @@
     const deadline = clock.monotonicMilliseconds() + options.stopMilliseconds;
     const running = (): number => admission.load().running;
     const inProgress = (): number => entry.inProgress() + running();
+    stopBound.start(deadline);
     logger.log('processStopping', { host, inProgress: entry.inProgress() });
     const cancelPhases = scheduleStopPhases();
     await drainServer({ clock, listener: callers, running, inProgress, deadline });
