sidecar: a stopping node refuses calls of other nodes that it would cut off

What callers could see: a call that an entry node sent to the node of a stopping upstream, shortly after its SIGTERM, ran until the process closed its connections, and got 502 if it must not run twice, although another upstream could have served it.

Cause: the serving side accepted every call until its end, whatever calls of the route usually take.

Evidence: createCallServer.test.ts, "a stopping node refuses calls that usually outlive it", failed before the change.

Change: such a call gets node-stopping, not run, and its entry node tries another one. A call of a route of which this node has seen no answer is still accepted.

--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -406,7 +406,9 @@
   }
 
   const runningCalls = createRunningCalls();
+  const servingStopBound = createStopBound(clock);
   const callServer = createCallServer({
+    stopBound: servingStopBound,
     clock,
     admission,
     upstream,
@@ -425,7 +427,7 @@
     }),
     logger,
   });
-  const stopBound = createStopBound(clock);
+  const entryStopBound = createStopBound(clock);
   const entry = createEntry({
     clock,
     random,
@@ -452,7 +454,7 @@
     uploadBytes: options.connectionLimits.uploadBytes,
     isStopping: () => isStopping,
     refusesCallers: () => refusesCallers,
-    stopBound,
+    stopBound: entryStopBound,
   });
 
   const callers = createCallerListener(logger, entry.handle, {
@@ -535,7 +537,7 @@
     const deadline = clock.monotonicMilliseconds() + options.stopMilliseconds;
     const running = (): number => admission.load().running;
     const inProgress = (): number => entry.inProgress() + running();
-    stopBound.start(deadline);
+    [entryStopBound, servingStopBound].forEach((bound) => bound.start(deadline));
     logger.log('processStopping', { host, inProgress: entry.inProgress() });
     const cancelPhases = scheduleStopPhases();
     await drainServer({ clock, listener: callers, running, inProgress, deadline });
--- a/packages/sidecar/src/lib/process/createStopBound.test.ts
+++ b/packages/sidecar/src/lib/process/createStopBound.test.ts
@@ -45,6 +45,18 @@
   test.notOk(bound.fits(call));
 });
 
+// Guards against refusing calls to an upstream only because this node has not seen one of their route.
+void t.test('a call may fit while nothing is known of its route', async (test) => {
+  const { bound, clock } = createFixture();
+  const call = { route: ROUTE, timeoutMilliseconds: LONG_MILLISECONDS };
+  test.ok(bound.mayFit(call));
+  bound.start(clock.monotonicMilliseconds() + STOP_MILLISECONDS);
+  test.ok(bound.mayFit(call));
+  bound.observe(ROUTE, 4_000);
+  test.notOk(bound.mayFit(call));
+  test.ok(bound.mayFit({ ...call, timeoutMilliseconds: 1_000 }));
+});
+
 // Guards against a bound that a few quick calls lower below the time of the slow ones.
 void t.test('the usual time follows the slower calls of a route', async (test) => {
   const { bound, clock } = createFixture();
--- a/packages/sidecar/src/lib/process/createStopBound.ts
+++ b/packages/sidecar/src/lib/process/createStopBound.ts
@@ -23,6 +23,8 @@
    *   while the process is not stopping.
    */
   readonly fits: (call: BoundedCall) => boolean;
+  /** @returns The same, except that a call also may fit if no time of its route is known. */
+  readonly mayFit: (call: BoundedCall) => boolean;
 }
 
 /** Time in which an answer reaches its caller before the connections are closed, in milliseconds. */
@@ -49,6 +51,13 @@
   const usualMilliseconds = new Map<string, number>();
   let deadlineMilliseconds = Infinity;
 
+  const endsInTime = ({ route, timeoutMilliseconds }: BoundedCall, unknown: number): boolean => {
+    if (deadlineMilliseconds === Infinity) return true;
+    const left = deadlineMilliseconds - clock.monotonicMilliseconds() - ANSWER_MILLISECONDS;
+    const usual = usualMilliseconds.get(route) ?? unknown;
+    return Math.min(timeoutMilliseconds, usual * TIME_FACTOR) <= left;
+  };
+
   return {
     observe: (route, milliseconds) => {
       const usual = usualMilliseconds.get(route);
@@ -60,11 +69,7 @@
     start: (deadline) => {
       deadlineMilliseconds = deadline;
     },
-    fits: ({ route, timeoutMilliseconds }) => {
-      if (deadlineMilliseconds === Infinity) return true;
-      const left = deadlineMilliseconds - clock.monotonicMilliseconds() - ANSWER_MILLISECONDS;
-      const usual = usualMilliseconds.get(route) ?? Infinity;
-      return Math.min(timeoutMilliseconds, usual * TIME_FACTOR) <= left;
-    },
+    fits: (call) => endsInTime(call, Infinity),
+    mayFit: (call) => endsInTime(call, 0),
   };
 }
--- a/packages/sidecar/src/lib/serving/createCallServer.test.ts
+++ b/packages/sidecar/src/lib/serving/createCallServer.test.ts
@@ -9,6 +9,7 @@
 import t from 'tap';
 
 import { createConnectionPool } from '../http/createConnectionPool';
+import { createStopBound } from '../process/createStopBound';
 import { createCallServer } from './createCallServer';
 import { createNestedShares } from './createNestedShares';
 import type { UpstreamInstance } from './UpstreamInstance';
@@ -58,6 +59,7 @@
     idleMilliseconds: 1_000,
     connectMilliseconds: 300,
   });
+  const stopBound = createStopBound(clock);
   const callServer = createCallServer({
     clock,
     admission,
@@ -105,6 +107,7 @@
     nestedShares: createNestedShares(clock),
     repeats: { countFirstAttempt: ignore, tryRepeat: () => true },
     suspects: { check: ignore, begin: () => ({ end: ignore }), recordEnd: ignore },
+    stopBound,
     logger: createSilentLogger(),
   });
   const serve = async () => {
@@ -134,7 +137,7 @@
     server.close();
     server.closeAllConnections();
   };
-  return { serve, close };
+  return { serve, close, stopBound };
 }
 
 const cases = [
@@ -166,3 +169,15 @@
     close();
   });
 });
+
+// Guards against a call of another node that the end of this one cuts off, although another upstream could run it.
+void t.test('a stopping node refuses calls that usually outlive it', async (test) => {
+  const { close, serve, stopBound } = await startCallServer(200, nestedCalls.none);
+  stopBound.start(clock.monotonicMilliseconds() + 400);
+  const unknown = await serve();
+  test.match(unknown.answer, { kind: 'answer' }, 'nothing is known of its route');
+  stopBound.observe('read', 300);
+  const refused = await serve();
+  test.match(refused.answer, { kind: 'refusal', reason: 'node-stopping', outcome: 'not-run' });
+  close();
+});
--- a/packages/sidecar/src/lib/serving/createCallServer.ts
+++ b/packages/sidecar/src/lib/serving/createCallServer.ts
@@ -16,6 +16,7 @@
 import type { ExchangeFailure, ExchangeResult } from '../http/ExchangeResult';
 import { whenClosed } from '../http/whenClosed';
 import { priorityOfRank } from '../policy/priorityOfRank';
+import type { StopBound } from '../process/createStopBound';
 import type { CallProtocol } from '../protocol/CallProtocol';
 import { isNotRunStatus } from '../protocol/isNotRunStatus';
 import type { ResponseHead } from '../protocol/ResponseHead';
@@ -48,6 +49,8 @@
   readonly costs: CallCosts | undefined;
   /** Takes the speed of the upstream after each call. */
   readonly recordSpeed: (speed: number | undefined) => void;
+  /** Tells which calls end before this node, if it is stopping. */
+  readonly stopBound: Pick<StopBound, 'mayFit' | 'observe'>;
   readonly logger: EventLogger;
 }
 
@@ -133,7 +136,7 @@
  */
 export function createCallServer(options: CallServerOptions): CallServer {
   const { admission, clock, logger, poolOf, protocol, running, statedLimit, upstream } = options;
-  const { costs, gate, nestedShares, recordSpeed, repeats, suspects } = options;
+  const { costs, gate, nestedShares, recordSpeed, repeats, stopBound, suspects } = options;
 
   const refuseByState = (
     call: CallAttempt,
@@ -144,6 +147,12 @@
     return view.state === 'ready' ? gate.refusal() : refuse('upstream-draining');
   };
 
+  /** Refuses a call that the end of this node would cut off; another node may still serve it. */
+  const refuseByStop = ({ route, scope }: CallAttempt): Refusal | undefined => {
+    const timeoutMilliseconds = scope.remainingMilliseconds();
+    return stopBound.mayFit({ route, timeoutMilliseconds }) ? undefined : refuse('node-stopping');
+  };
+
   const toResponse = (
     view: UpstreamView,
     result: Exclude<ExchangeResult, { kind: 'failed' }>,
@@ -275,12 +284,18 @@
     const serviceMilliseconds = observeTime(call, outcome, result, now);
     const ending = endingOf(result, answer, head);
     const rest = answer.kind === 'answer' ? answer.rest : undefined;
+    const observeEnd = (): void => {
+      if (outcome === 'completed')
+        stopBound.observe(call.route, clock.monotonicMilliseconds() - now);
+    };
     if (rest) {
       whenClosed(rest, () => {
+        if (rest.readableEnded) observeEnd();
         suspectable.end(streamEndingOf(rest, call, ending));
         permit.release(outcome);
       });
     } else {
+      observeEnd();
       suspectable.end(ending);
       permit.release(outcome);
     }
@@ -331,7 +346,8 @@
     if (gate.permission() === 'unknown') {
       await Promise.race([gate.whenKnown(), clock.sleep(ORDERS_WAIT_MILLISECONDS)]);
     }
-    const refusal = refuseByState(call, upstream.current()) ?? suspects.check(call);
+    const refusal =
+      refuseByState(call, upstream.current()) ?? refuseByStop(call) ?? suspects.check(call);
     if (refusal) return { answer: refusal };
     const request: AdmissionRequest = {
       account: call.chargedAccount,
@@ -359,6 +375,7 @@
     const cancelled = call.scope.cancelReason();
     const lateRefusal =
       refuseByState(call, view) ??
+      refuseByStop(call) ??
       (cancelled ? refuse(cancelled) : (suspects.check(call) ?? refuseRepeat(call)));
     if (lateRefusal) {
       admitted.value.release('cancelled');
--- a/packages/sidecar/src/lib/serving/evacuatedQueue.test.ts
+++ b/packages/sidecar/src/lib/serving/evacuatedQueue.test.ts
@@ -12,6 +12,7 @@
 import type { ServingPermission } from '../evacuation/createServingGate';
 import { createConnectionPool } from '../http/createConnectionPool';
 import type { CallAttempt } from './CallAttempt';
+import { createStopBound } from '../process/createStopBound';
 import { createCallServer } from './createCallServer';
 import { createNestedShares } from './createNestedShares';
 import { createRunningCalls } from './createRunningCalls';
@@ -55,6 +56,7 @@
   };
   let permission: ServingPermission = 'unknown';
   const callServer = createCallServer({
+    stopBound: createStopBound(clock),
     clock,
     admission,
     upstream: {
