--- a/packages/sidecar/src/lib/channel/createPeerSession.ts
+++ b/packages/sidecar/src/lib/channel/createPeerSession.ts
@@ -22,6 +22,8 @@
 
 /** One call of the other node. */
 interface Attempt {
+  readonly requestId: string;
+  readonly receivedMilliseconds: number;
   readonly scope: CallScope;
   readonly receiver: BodyReceiver | undefined;
   sender: BodySender | undefined;
@@ -164,11 +166,21 @@
     });
   };
 
+  const cancel = (attempt: Attempt, cause: string): void => {
+    const { receivedMilliseconds, requestId, result, scope } = attempt;
+    if (!result) {
+      const milliseconds = Math.round(clock.monotonicMilliseconds() - receivedMilliseconds);
+      logger.log('callCancelled', { requestId, cause, milliseconds });
+    }
+    // The rest of a long answer is still being sent.
+    scope.cancel('caller-gone');
+  };
+
   /** Cancels the running calls. The session remains, so that the other node is told how they ended. */
   const cancelOrphans = (): void => {
     attempts.forEach((attempt) => {
       Object.assign(attempt, { isOrphaned: true });
-      attempt.scope.cancel('caller-gone');
+      cancel(attempt, 'connection lost');
     });
   };
 
@@ -205,6 +217,8 @@
         : undefined;
       const scope = createCallScope(clock, message.remainingMilliseconds);
       const attempt: Attempt = {
+        requestId: message.requestId,
+        receivedMilliseconds: clock.monotonicMilliseconds(),
         scope,
         receiver,
         sender: undefined,
@@ -233,9 +247,10 @@
     },
     onCancel: ({ id }) => {
       const attempt = attempts.get(id);
-      attempt?.scope.cancel('caller-gone');
-      attempt?.receiver?.fail();
-      attempt?.sender?.stop();
+      if (!attempt) return;
+      cancel(attempt, 'cancelled');
+      attempt.receiver?.fail();
+      attempt.sender?.stop();
     },
     onBodyPart: (part) => attempts.get(part.id)?.receiver?.push(part),
     onBodyCredit: ({ bytes, id }) => attempts.get(id)?.sender?.addCredit(bytes),
--- a/packages/sidecar/src/lib/entry/createEntry.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.ts
@@ -174,7 +174,11 @@
     const waitedMilliseconds = clock.monotonicMilliseconds() - arrivedMilliseconds;
     const scope = createCallScope(clock, timeoutOf(head, route) - waitedMilliseconds);
     response.once('close', () => {
-      if (!response.writableFinished) scope.cancel('caller-gone');
+      if (!response.writableFinished) {
+        scope.cancel('caller-gone');
+        const milliseconds = Math.round(clock.monotonicMilliseconds() - arrivedMilliseconds);
+        logger.log('callerLeft', { requestId: head.requestId, route: route.name, milliseconds });
+      }
       scope.end();
     });
     const acceptedBytes = accepted.policy.requestLimits.bodyBytes;
--- a/packages/telemetry/src/lib/events/sidecarEvents.ts
+++ b/packages/telemetry/src/lib/events/sidecarEvents.ts
@@ -56,6 +56,18 @@
       'upstream sent a status that means "not run" without stating that it has not run; the response was withheld',
     perCall: true,
   },
+  callerLeft: {
+    number: 7012,
+    level: 'info',
+    message: 'caller closed its connection before its call was answered',
+    perCall: true,
+  },
+  callCancelled: {
+    number: 7013,
+    level: 'info',
+    message: 'entry node cancelled a call, or can not be reached any more',
+    perCall: true,
+  },
   bodyTooLong: {
     number: 7007,
     level: 'info',
