sidecar: a cancellation reaches the serving node after its connection was lost

Cause: createPeerLink sent the cancellation on the connection on which the call had been sent. If that had been replaced or was lost, the message was dropped; the resumption lists only calls that are still awaited. An attempt that could not be resumed was not cancelled at all.

Evidence: five new tests of createPeerLink.test.ts failed before the change: connections that were replaced at once, later, before or after the caller left, one that went silent, and an attempt that was given up.

Change: the link remembers a cancelled call until an answer confirms it, for 5 s at most, opens a connection for it if there is none, and repeats it on each new connection of the same session. The serving node answers a cancellation of a call that it does not run.

--- a/packages/sidecar/src/lib/channel/createPeerLink.test.ts
+++ b/packages/sidecar/src/lib/channel/createPeerLink.test.ts
@@ -41,6 +41,8 @@
   readonly refuse: () => void;
   /** Accepts connections again after they were refused. */
   readonly accept: () => void;
+  /** Resets further connections as soon as they are accepted, or no more. */
+  readonly setBlocked: (isBlocked: boolean) => void;
   readonly close: () => void;
 }
 
@@ -55,7 +57,12 @@
 async function createRelay(target: () => string): Promise<Relay> {
   const sockets = new Set<Socket>();
   let delayMilliseconds = 0;
+  let blocked = false;
   const server = createServer((incoming) => {
+    if (blocked) {
+      incoming.resetAndDestroy();
+      return;
+    }
     const [host, port] = target().split(':');
     const outgoing = connect(Number(port), host);
     [incoming, outgoing].forEach((socket) => {
@@ -95,6 +102,9 @@
       delayMilliseconds = milliseconds;
     },
     refuse: () => server.close(),
+    setBlocked: (isBlocked) => {
+      blocked = isBlocked;
+    },
     accept: () => server.listen(Number(address.split(':')[1]), '127.0.0.1'),
     close: () => {
       server.close();
@@ -388,6 +398,95 @@
   node.close();
 });
 
+/** How the connection of a call is lost, and when its caller leaves after that, in milliseconds. */
+const lostConnections = [
+  { name: 'replaced at once', blockedMilliseconds: 0, leavesAfter: 150 },
+  { name: 'replaced when the caller has left', blockedMilliseconds: 400, leavesAfter: 100 },
+  { name: 'replaced before the caller leaves', blockedMilliseconds: 400, leavesAfter: 900 },
+] as const;
+
+// Guards against an upstream that continues to run a call whose caller has left after the connection to its node was lost.
+lostConnections.forEach(({ blockedMilliseconds, leavesAfter, name }) => {
+  void t.test(`a call is cancelled on the connection that was ${name}`, async (test) => {
+    let cancelledMilliseconds = Infinity;
+    const node = await startNode(FIRST, async ({ scope }) => {
+      await new Promise<void>((resolve) => {
+        scope.onCancel(resolve);
+      });
+      cancelledMilliseconds = clock.monotonicMilliseconds();
+      return { answer: refuse('caller-gone', 'may-have-run'), load: undefined };
+    });
+    const relay = await createRelay(() => node.address);
+    const link = openLink(relay.address);
+    const call = callOf({}, 10_000);
+    void link.call(call);
+    await clock.sleep(100);
+    const lost = clock.monotonicMilliseconds();
+    relay.setBlocked(blockedMilliseconds > 0);
+    relay.reset();
+    const unblocked = clock.sleep(blockedMilliseconds).then(() => relay.setBlocked(false));
+    await clock.sleep(leavesAfter);
+    call.scope.cancel('caller-gone');
+    const possibleMilliseconds = lost + Math.max(leavesAfter, blockedMilliseconds);
+    await unblocked;
+    await clock.sleep(700);
+    const lateMilliseconds = cancelledMilliseconds - possibleMilliseconds;
+    test.ok(lateMilliseconds < 500, `noticed ${lateMilliseconds} ms later`);
+    link.close();
+    relay.close();
+    node.close();
+  });
+});
+
+// Guards against the same when the connection has stopped delivering without being closed.
+void t.test('a call is cancelled although its connection has gone silent', async (test) => {
+  let isCancelled = false;
+  const node = await startNode(FIRST, async ({ scope }) => {
+    await new Promise<void>((resolve) => {
+      scope.onCancel(resolve);
+    });
+    isCancelled = true;
+    return { answer: refuse('caller-gone', 'may-have-run'), load: undefined };
+  });
+  const relay = await createRelay(() => node.address);
+  const link = openLink(relay.address);
+  const call = callOf({}, 10_000);
+  void link.call(call);
+  await clock.sleep(100);
+  relay.stopForwarding();
+  call.scope.cancel('caller-gone');
+  await clock.sleep(1_800);
+  test.ok(isCancelled);
+  link.close();
+  relay.close();
+  node.close();
+});
+
+// Guards against an upstream that continues to run an attempt which its entry node has given up and repeated elsewhere.
+void t.test('an attempt that could not be resumed is cancelled', async (test) => {
+  let isCancelled = false;
+  const node = await startNode(FIRST, async ({ scope }) => {
+    await new Promise<void>((resolve) => {
+      scope.onCancel(resolve);
+    });
+    isCancelled = true;
+    return { answer: refuse('caller-gone', 'may-have-run'), load: undefined };
+  });
+  const relay = await createRelay(() => node.address);
+  const link = openLink(relay.address);
+  const calling = link.call(callOf({ repeatable: true }, 10_000));
+  await clock.sleep(100);
+  relay.setBlocked(true);
+  relay.reset();
+  test.match((await calling).answer, { reason: 'peer-unreachable', outcome: 'may-have-run' });
+  relay.setBlocked(false);
+  await clock.sleep(800);
+  test.ok(isCancelled);
+  link.close();
+  relay.close();
+  node.close();
+});
+
 // Guards against memory use that grows with the body, and against a truncated or reordered body.
 void t.test('long bodies are sent in parts, in both directions', async (test) => {
   const long = Array.from({ length: 200 }, (_, index) => `${index}`.padEnd(10_000, '.'));
--- a/packages/sidecar/src/lib/channel/createPeerLink.ts
+++ b/packages/sidecar/src/lib/channel/createPeerLink.ts
@@ -10,6 +10,7 @@
 import { channelTimes } from './channelTimes';
 import { createBodyReceiver } from './createBodyReceiver';
 import { createBodySender } from './createBodySender';
+import { createCancellations, isSameSession } from './createCancellations';
 import { createLostCalls } from './createLostCalls';
 import type { LinkConnection } from './createLinkConnector';
 import { createLinkConnector } from './createLinkConnector';
@@ -36,10 +37,6 @@
   return { answer: refuse(reason, outcome), load: undefined };
 }
 
-function isSameSession(one: LinkConnection, other: LinkConnection): boolean {
-  return one.incarnation === other.incarnation && one.session === other.session;
-}
-
 /**
  * Creates the link to another node, which multiplexes all calls and messages over one connection. When the connection
  * is lost or unresponsive, the link reconnects and requests the pending answers from the same process, so that a lost
@@ -53,6 +50,7 @@
   const { clock, ticker } = options;
   const calls = new Map<number, PendingCall>();
   const lostCalls = createLostCalls(clock);
+  const cancellations = createCancellations(clock);
   const messages = new Map<number, (answer: unknown) => void>();
   let nextId = 1;
   let stopChecking: (() => void) | undefined;
@@ -61,7 +59,10 @@
 
   const connector = createLinkConnector(options, {
     onFrame: (frame) => dispatch(frame),
-    onOpen: (connection) => reportInterrupted(connection),
+    onOpen: (connection) => {
+      reportInterrupted(connection);
+      cancellations.due(connection).forEach((id) => sendCancel(connection, id));
+    },
     onLost: () => {
       breakTransfers();
       void resume();
@@ -88,7 +89,21 @@
     frames.send({ $case: 'interruptedCalls', value: toInterruptedCallsMessage(interrupted) });
   }
 
+  function sendCancel({ frames }: LinkConnection, id: number): void {
+    frames.send({ $case: 'cancel', value: { id } });
+  }
+
+  /** Cancels a call on the present connection, or on the next one if that is lost. */
+  const cancel = (id: number, sentOn: LinkConnection): void => {
+    const connection = connector.current();
+    if (connection && !isSameSession(connection, sentOn)) return;
+    cancellations.add(id, sentOn);
+    if (connection) sendCancel(connection, id);
+    else void resume();
+  };
+
   const onAnswer = (message: channelMessages.Answer): void => {
+    cancellations.confirm(message.id);
     const pending = calls.get(message.id);
     if (!pending || pending.receiver) return;
     if (message.bodyFollows) {
@@ -145,6 +160,7 @@
       const isUnreachable = !connection && call.repeatable;
       if (!isUnknown && !isUnreachable) return;
       recordLost(pending);
+      if (!connection) cancellations.add(id, sentOn);
       settle(id, refused('peer-unreachable', 'may-have-run'));
     });
     if (connection) reportInterrupted(connection);
@@ -153,7 +169,7 @@
   async function resume(): Promise<void> {
     if (isResuming) return;
     isResuming = true;
-    while (calls.size > 0) {
+    while (calls.size + cancellations.size() > 0) {
       const connection = await connector.connect();
       failUnresumable(connection);
       if (connection) {
@@ -182,10 +198,10 @@
       frames.send({ $case: 'ping', value: { sequence: 0 } });
   };
 
-  /** The receive timeout applies only while an answer is pending. */
+  /** The receive timeout applies only while an answer or the confirmation of a cancellation is pending. */
   const check = (): void => {
     const connection = connector.current();
-    if (calls.size + messages.size === 0) {
+    if (calls.size + messages.size + cancellations.size() === 0) {
       stopChecking?.();
       stopChecking = undefined;
     } else if (connection) checkReceiveTimeout(connection);
@@ -204,7 +220,7 @@
       nextId += 1;
       const { body, scope } = call;
       const stopListening = scope.onCancel(() => {
-        frames.send({ $case: 'cancel', value: { id } });
+        cancel(id, connection);
         const pending = calls.get(id);
         if (pending && connector.current() !== connection) recordLost(pending);
         settle(id, refused(scope.cancelReason() ?? 'caller-gone', 'may-have-run'));
--- a/packages/sidecar/src/lib/channel/createPeerSession.ts
+++ b/packages/sidecar/src/lib/channel/createPeerSession.ts
@@ -247,6 +247,8 @@
     },
     onCancel: ({ id }) => {
       const attempt = attempts.get(id);
+      // The answer confirms the cancellation; that of a running call follows when it has ended.
+      if (!attempt || attempt.result) send(id, refused('may-have-run'));
       if (!attempt) return;
       cancel(attempt, 'cancelled');
       attempt.receiver?.fail();
