sidecar: a busy node does not send on requests of callers that have left

Cause: a poll of the event loop reads all requests that have arrived, and the node began each of them at once. That a caller has closed its connection is read in the poll after that, when its request has been sent on.

--- a/packages/sidecar/src/lib/entry/EntryOptions.ts
+++ b/packages/sidecar/src/lib/entry/EntryOptions.ts
@@ -13,6 +13,7 @@
 import type { CallServer } from '../serving/createCallServer';
 import type { SidecarMetrics } from '../process/createSidecarMetrics';
 import type { StopBound } from '../process/createStopBound';
+import type { TurnPacer } from '../process/createTurnPacer';
 import type { ServiceRetryBudget } from './createServiceRetryBudget';
 
 /**
@@ -48,6 +49,8 @@
   readonly refusesEarly: boolean;
   /** Most bytes of uploads that are kept whole; further uploads are streamed. */
   readonly uploadBytes: number;
+  /** Spreads requests that arrive at once, so that the departure of their callers is noticed before they are sent on. */
+  readonly pacer: TurnPacer;
   /** @returns Whether the node is stopping, so that callers should not reuse their connections. */
   readonly isStopping: () => boolean;
   /** @returns Whether the shutdown has reached the phase in which only calls of the local upstream are accepted. */
--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -1,7 +1,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { createServer, request as httpRequest } from 'node:http';
+import { once } from 'node:events';
 import type { AddressInfo } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { Worker } from 'node:worker_threads';
 
 import { refuse } from '@buckthornslip/calls';
 import type { AccountId, HostId, Incarnation, ServiceId } from '@buckthornslip/common';
@@ -15,6 +17,7 @@
 import { createPriorityRanks } from '../policy/createPriorityRanks';
 import { createSidecarMetrics } from '../process/createSidecarMetrics';
 import { createStopBound } from '../process/createStopBound';
+import { createTurnPacer } from '../process/createTurnPacer';
 import { createRunningCalls } from '../serving/createRunningCalls';
 import type { CallAttempt } from '../serving/CallAttempt';
 import { createEntry } from './createEntry';
@@ -138,6 +141,7 @@
     isStopping: () => refusesCallers,
     refusesCallers: () => refusesCallers,
     stopBound,
+    pacer: createTurnPacer(),
   });
   const server = createServer((request: IncomingMessage, response: ServerResponse) => {
     void entry.handle(request, response);
@@ -177,7 +181,7 @@
     }
     return sent;
   };
-  return { clock, send, sendRepeatedly, received, running, close, refreshed, metrics };
+  return { clock, port, send, sendRepeatedly, received, running, close, refreshed, metrics };
 }
 
 const answered = (body = 'ok') =>
@@ -397,6 +401,46 @@
   close();
 });
 
+/** Program of a thread that opens connections, and then sends a request on each and closes it. */
+const LEAVING_CALLERS = `
+  const { connect } = require('node:net');
+  const { parentPort, workerData } = require('node:worker_threads');
+  const { count, port } = workerData;
+  let open = 0;
+  const sockets = Array.from({ length: count }, () =>
+    connect(port, '127.0.0.1', () => {
+      open += 1;
+      if (open === count) parentPort.postMessage('open');
+    }),
+  );
+  sockets.forEach((socket) => socket.on('error', () => undefined));
+  parentPort.once('message', () =>
+    sockets.forEach((socket) => {
+      socket.write('GET /read/1 HTTP/1.1\\r\\nHost: calls.example\\r\\nid: r\\r\\nkey: other-key\\r\\n\\r\\n');
+      socket.destroySoon();
+    }),
+  );
+`;
+
+// Guards against a busy node that sends on the requests of callers which left while the requests waited to be read.
+void t.test('requests of callers that have left are not sent on', async (test) => {
+  const count = 200;
+  let runs = 0;
+  const { close, port } = await startEntry(async () => {
+    runs += 1;
+    return answered();
+  });
+  const callers = new Worker(LEAVING_CALLERS, { eval: true, workerData: { count, port } });
+  await once(callers, 'message');
+  callers.postMessage('leave');
+  const busyUntil = performance.now() + 400;
+  while (performance.now() < busyUntil);
+  await sleep(400);
+  test.ok(runs < count / 4, `${runs} of ${count} were sent on`);
+  await callers.terminate();
+  close();
+});
+
 // Guards against a node that missed an upstream's departure and keeps sending calls there.
 void t.test('a node that refuses because of its state is asked for its record', async (test) => {
   const reasons = ['queue-timeout', 'no-upstream'] as const;
--- a/packages/sidecar/src/lib/entry/createEntry.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.ts
@@ -10,6 +10,7 @@
 import { readRequestBody } from '../http/readRequestBody';
 import { writeResponse } from '../http/writeResponse';
 import { regionsInForce } from '../policy/regionsInForce';
+import type { RequestHead } from '../protocol/RequestHead';
 import { createForwarder } from './createForwarder';
 import type { AcceptedRequest } from './AcceptedRequest';
 import { createRequestAcceptor } from './createRequestAcceptor';
@@ -56,6 +57,11 @@
   return answer.kind === 'answer' && !isServerError(answer.status);
 }
 
+/** The response is closed some turns of the event loop after the caller has closed its connection. */
+function hasLeft({ socket }: IncomingMessage, response: ServerResponse): boolean {
+  return response.destroyed || socket.destroyed || socket.readableEnded;
+}
+
 function notSent(answer: Refusal): ForwardResult {
   return { answer, attempts: 0, host: undefined };
 }
@@ -86,6 +92,11 @@
   const uploadBudget = createBodyBudget(options.uploadBytes);
   let running = 0;
 
+  const logLeft = (head: RequestHead, route: string | undefined, arrivedMilliseconds: number) => {
+    const milliseconds = Math.round(clock.monotonicMilliseconds() - arrivedMilliseconds);
+    logger.log('callerLeft', { requestId: head.requestId, route, milliseconds });
+  };
+
   const connectionHeaders = (): string[] => (isStopping() ? ['Connection', 'close'] : []);
 
   const endHeaders = (request: IncomingMessage): string[] => {
@@ -176,8 +187,7 @@
     response.once('close', () => {
       if (!response.writableFinished) {
         scope.cancel('caller-gone');
-        const milliseconds = Math.round(clock.monotonicMilliseconds() - arrivedMilliseconds);
-        logger.log('callerLeft', { requestId: head.requestId, route: route.name, milliseconds });
+        logLeft(head, route.name, arrivedMilliseconds);
       }
       scope.end();
     });
@@ -234,9 +244,13 @@
   const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const arrivedMilliseconds = clock.monotonicMilliseconds();
     const head = protocol.readRequest(request.headers);
+    await options.pacer.wait();
     if (!policy.current()) {
       await Promise.race([policy.whenAvailable(), clock.sleep(POLICY_WAIT_MILLISECONDS)]);
-      if (response.destroyed) return;
+    }
+    if (hasLeft(request, response)) {
+      logLeft(head, undefined, arrivedMilliseconds);
+      return;
     }
     const accepted = acceptor.accept(request, head);
     if (!accepted.ok) {
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -59,6 +59,7 @@
 import { createLagMonitor } from './createLagMonitor';
 import { createSidecarMetrics } from './createSidecarMetrics';
 import { createStopBound } from './createStopBound';
+import { createTurnPacer } from './createTurnPacer';
 import { drainServer, ACCEPTING_WHILE_STOPPING_MILLISECONDS } from './drainServer';
 import { linkBudget } from './linkBudget';
 import type { Sidecar } from './Sidecar';
@@ -427,6 +428,7 @@
     }),
     logger,
   });
+  const pacer = createTurnPacer();
   const entryStopBound = createStopBound(clock);
   const entry = createEntry({
     clock,
@@ -455,6 +457,7 @@
     isStopping: () => isStopping,
     refusesCallers: () => refusesCallers,
     stopBound: entryStopBound,
+    pacer,
   });
 
   const callers = createCallerListener(logger, entry.handle, {
