sidecar: a serving node does not run calls whose cancellation it has received

Cause: all calls of one read were begun before the frames behind them were handled, and those of later reads before their cancellations.

Change: calls of other nodes begin by the same pacer as requests of callers, after all frames of their read. A call that has been cancelled by then is answered as not run.

--- a/packages/sidecar/src/lib/channel/createPeerLink.test.ts
+++ b/packages/sidecar/src/lib/channel/createPeerLink.test.ts
@@ -15,6 +15,7 @@
 import type { CallAttempt } from '../serving/CallAttempt';
 import { fingerprintOf } from '../serving/fingerprintOf';
 import type { InterruptedCall } from '../serving/InterruptedCall';
+import { createTurnPacer } from '../process/createTurnPacer';
 import { reserveAddress } from '../testing/reserveAddress';
 import { createPeerLink } from './createPeerLink';
 import { createPeerListener } from './createPeerListener';
@@ -121,7 +122,13 @@
 ) {
   const self = { host: 'serving' as HostId, incarnation };
   const listener = createPeerListener(
-    { clock: sessionClock, logger: createSilentLogger(), self, onReceived: () => undefined },
+    {
+      clock: sessionClock,
+      logger: createSilentLogger(),
+      pacer: createTurnPacer(),
+      self,
+      onReceived: () => undefined,
+    },
     {
       serve,
       grant: async () => ({ tokens: 1, retryAfterMilliseconds: 0 }),
@@ -462,6 +469,29 @@
   node.close();
 });
 
+// Guards against a busy node that runs calls of which it has received the cancellation as well.
+void t.test('a call that is cancelled while it waits to be read is not run', async (test) => {
+  const count = 200;
+  let runs = 0;
+  const node = await startNode(FIRST, async ({ scope }) => {
+    runs += scope.cancelReason() === undefined ? 1 : 0;
+    return answerOf('answer');
+  });
+  const link = openLink(node.address);
+  await link.call(callOf());
+  runs = 0;
+  const calls = Array.from({ length: count }, () => callOf({}, 10_000));
+  const calling = calls.map((call) => link.call(call));
+  // The calls have been sent when the event loop turns.
+  await clock.sleep(0);
+  calls.forEach(({ scope }) => scope.cancel('caller-gone'));
+  await Promise.all(calling);
+  await clock.sleep(300);
+  test.ok(runs < count / 4, `${runs} of ${count} were run`);
+  link.close();
+  node.close();
+});
+
 // Guards against an upstream that continues to run an attempt which its entry node has given up and repeated elsewhere.
 void t.test('an attempt that could not be resumed is cancelled', async (test) => {
   let isCancelled = false;
--- a/packages/sidecar/src/lib/channel/createPeerListener.ts
+++ b/packages/sidecar/src/lib/channel/createPeerListener.ts
@@ -6,6 +6,7 @@
 import type { channelMessages } from '@buckthornslip/wire';
 
 import { listenAt } from '../http/listenAt';
+import type { TurnPacer } from '../process/createTurnPacer';
 import { createFrameConnection } from './createFrameConnection';
 import type { FrameConnection } from './FrameConnection';
 import type { PeerSession } from './createPeerSession';
@@ -27,6 +28,7 @@
 interface PeerListenerOptions {
   readonly clock: Clock;
   readonly logger: EventLogger;
+  readonly pacer: TurnPacer;
   /** This node. */
   readonly self: NodeIdentity;
   /** Called for each message of another node. */
@@ -45,7 +47,7 @@
   options: PeerListenerOptions,
   peerHandlers: PeerHandlers,
 ): PeerListener {
-  const { clock, logger, onReceived, self } = options;
+  const { clock, logger, onReceived, pacer, self } = options;
   const sessions = new Map<string, PeerSession>();
   let lastSession = 0;
   const sockets = new Set<Socket>();
@@ -55,7 +57,7 @@
     const known = sessions.get(key);
     if (known) return known;
     lastSession += 1;
-    const created = createPeerSession({ clock, logger }, peerHandlers, {
+    const created = createPeerSession({ clock, logger, pacer }, peerHandlers, {
       number: lastSession,
       onForgotten: () => sessions.delete(key),
     });
--- a/packages/sidecar/src/lib/channel/createPeerSession.ts
+++ b/packages/sidecar/src/lib/channel/createPeerSession.ts
@@ -8,6 +8,7 @@
 
 import type { RequestBody } from '../http/RequestBody';
 import { whenClosed } from '../http/whenClosed';
+import type { TurnPacer } from '../process/createTurnPacer';
 import type { AttemptResult } from '../serving/AttemptResult';
 import type { BodyReceiver, BodySender } from './BodyChannel';
 import { fromCallMessage, toAnswerMessage } from './callFrames';
@@ -62,6 +63,8 @@
 interface PeerSessionDependencies {
   readonly clock: Clock;
   readonly logger: EventLogger;
+  /** Spreads calls that arrive at once, so that their cancellations are read before they run. */
+  readonly pacer: TurnPacer;
 }
 
 function refused(outcome: Outcome): AttemptResult {
@@ -94,7 +97,7 @@
   handlers: PeerHandlers,
   { number, onForgotten }: PeerSessionSettings,
 ): PeerSession {
-  const { clock, logger } = dependencies;
+  const { clock, logger, pacer } = dependencies;
   const attempts = new Map<number, Attempt>();
   const retainedAnswers: { readonly id: number; readonly untilMilliseconds: number }[] = [];
   let connection: FrameConnection | undefined;
@@ -166,6 +169,17 @@
     });
   };
 
+  const serve = async (
+    message: channelMessages.Call,
+    body: RequestBody,
+    scope: CallScope,
+  ): Promise<AttemptResult> => {
+    await pacer.wait();
+    const reason = scope.cancelReason();
+    if (reason !== undefined) return { answer: refuse(reason, 'not-run'), load: undefined };
+    return handlers.serve({ ...fromCallMessage(message), body, scope });
+  };
+
   const cancel = (attempt: Attempt, cause: string): void => {
     const { receivedMilliseconds, requestId, result, scope } = attempt;
     if (!result) {
@@ -226,9 +240,7 @@
         isOrphaned: false,
       };
       attempts.set(id, attempt);
-      const body = bodyOf(message, receiver);
-      void handlers
-        .serve({ ...fromCallMessage(message), body, scope })
+      void serve(message, bodyOf(message, receiver), scope)
         .catch((error: unknown) => {
           const { requestId } = message;
           logger.log('unexpectedError', { during: 'call', requestId, error: String(error) });
--- a/packages/sidecar/src/lib/channel/malformedMessages.test.ts
+++ b/packages/sidecar/src/lib/channel/malformedMessages.test.ts
@@ -8,6 +8,7 @@
 import t from 'tap';
 
 import type { CallAttempt } from '../serving/CallAttempt';
+import { createTurnPacer } from '../process/createTurnPacer';
 import { reserveAddress } from '../testing/reserveAddress';
 import { createPeerLink } from './createPeerLink';
 import { createPeerListener } from './createPeerListener';
@@ -26,7 +27,13 @@
 
 async function startNode(changed: Partial<PeerHandlers>) {
   const listener = createPeerListener(
-    { clock, logger, self: identity('serving'), onReceived: () => undefined },
+    {
+      clock,
+      logger,
+      pacer: createTurnPacer(),
+      self: identity('serving'),
+      onReceived: () => undefined,
+    },
     {
       serve: async () => ({ answer: refuse('queue-full'), load: undefined }),
       grant: async () => ({ tokens: 1, retryAfterMilliseconds: 0 }),
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -486,7 +486,7 @@
     return toExchangeFields(whole, policy.currentBytes(), false);
   };
   const peerListener = createPeerListener(
-    { clock, logger, self: { host, incarnation }, onReceived: recordContact },
+    { clock, logger, pacer, self: { host, incarnation }, onReceived: recordContact },
     {
       serve: callServer.serve,
       grant: ledger.grant,
