sidecar: a long answer that begins after its entry node has gone releases its permit

Cause: a session without a connection sent the rest of a long answer into nothing and waited for credit. The rest was closed by nobody, since the deadline leaves a response alone that was received as a whole, so its admission permit was never released.

--- /dev/null
+++ b/packages/sidecar/src/lib/channel/createPeerSession.test.ts
@@ -0,0 +1,116 @@
+import { Readable } from 'node:stream';
+
+import { createFakeClock } from '@buckthornslip/common';
+import { createSilentLogger } from '@buckthornslip/telemetry';
+import type { channelMessages } from '@buckthornslip/wire';
+import t from 'tap';
+
+import { createTurnPacer } from '../process/createTurnPacer';
+import type { AttemptResult } from '../serving/AttemptResult';
+import type { CallAttempt } from '../serving/CallAttempt';
+import { createPeerSession } from './createPeerSession';
+import type { FrameConnection } from './FrameConnection';
+import type { Frame } from './frameCodec';
+
+const PART_BYTES = 65_536;
+
+function createConnection() {
+  const sent: Frame[] = [];
+  const connection: FrameConnection = {
+    send: (frame) => sent.push(frame),
+    lastReceivedMilliseconds: () => 0,
+    pendingBytes: () => 0,
+    destroy: () => undefined,
+  };
+  return { connection, sent };
+}
+
+/** Starts a session whose only call is served as given. */
+function startSession(serve: (call: CallAttempt) => Promise<AttemptResult>) {
+  const clock = createFakeClock();
+  const session = createPeerSession(
+    { clock, logger: createSilentLogger(), pacer: createTurnPacer() },
+    {
+      serve,
+      grant: async () => ({ tokens: 1, retryAfterMilliseconds: 0 }),
+      exchange: (fields) => fields,
+      mergeSuspects: () => undefined,
+      recordInterrupted: () => undefined,
+    },
+    { number: 1, onForgotten: () => undefined },
+  );
+  const first = createConnection();
+  session.attach(first.connection);
+  const call: channelMessages.Call = {
+    id: 1,
+    requestId: 'request',
+    route: 'route',
+    service: 'service',
+    account: '',
+    payer: '',
+    callerService: 'caller',
+    rank: 0,
+    nested: false,
+    repeatable: true,
+    repeated: false,
+    costMilliseconds: 0,
+    remainingMilliseconds: 60_000,
+    method: 'GET',
+    target: '/',
+    headers: '',
+    body: Buffer.alloc(0),
+    bodyFollows: false,
+    bodyLength: -1,
+  };
+  return { call, clock, first, session };
+}
+
+const turn = (): Promise<void> =>
+  new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+
+function longAnswer(rest: Readable): AttemptResult {
+  return {
+    answer: { kind: 'answer', status: 200, headers: [], body: Buffer.alloc(PART_BYTES), rest },
+    load: undefined,
+  };
+}
+
+// Guards against an upstream whose slots stay in use for good, because the rest of a long answer is closed by nobody when its entry
+// node has ended before the answer began.
+void t.test('a long answer without a connection is closed', async (test) => {
+  // Longer than what is sent before the other node grants credit.
+  const rest = Readable.from(Array.from({ length: 8 }, () => Buffer.alloc(PART_BYTES)));
+  let answer = (): void => undefined;
+  const answered = new Promise<void>((resolve) => {
+    answer = resolve;
+  });
+  const { call, first, session } = startSession(async () => {
+    await answered;
+    return longAnswer(rest);
+  });
+  session.onCall(call);
+  await turn();
+  session.detach(first.connection);
+  answer();
+  await turn();
+  test.ok(rest.destroyed);
+  const second = createConnection();
+  session.attach(second.connection);
+  session.onResume({ id: 1, incarnation: 1 });
+  test.match(second.sent, [{ $case: 'answer', value: { refusalOutcome: 'may-have-run' } }]);
+});
+
+// Guards against a long answer that is closed although its entry node is there.
+void t.test('a long answer is sent in parts', async (test) => {
+  const { call, first, session } = startSession(async () =>
+    longAnswer(Readable.from([Buffer.alloc(PART_BYTES)])),
+  );
+  session.onCall(call);
+  await turn();
+  await turn();
+  const kinds = first.sent.map(({ $case }) => $case);
+  test.same([...new Set(kinds)], ['answer', 'bodyPart']);
+  test.match(first.sent.at(-1), { value: { last: true } });
+});
--- a/packages/sidecar/src/lib/channel/createPeerSession.ts
+++ b/packages/sidecar/src/lib/channel/createPeerSession.ts
@@ -129,8 +129,15 @@
     }
   };
 
+  /** The rest of a long answer can't be resumed, so that nobody would read and close one that begins without a connection. */
+  const withoutUnsendableRest = (result: AttemptResult): AttemptResult => {
+    if (connection || result.answer.kind !== 'answer' || !result.answer.rest) return result;
+    result.answer.rest.destroy();
+    return refused('may-have-run');
+  };
+
   const finish = (id: number, attempt: Attempt, served: AttemptResult): void => {
-    const result = attempt.isOrphaned ? reportOrphaned(served) : served;
+    const result = withoutUnsendableRest(attempt.isOrphaned ? reportOrphaned(served) : served);
     const rest = result.answer.kind === 'answer' ? result.answer.rest : undefined;
     Object.assign(attempt, { result });
     send(id, result);
