sidecar: after a long turn of the event loop no call begins before the next poll

A poll accepts one connection, so that the requests of new connections come late one by one.

The two new tests of createTurnPacer.test.ts fail without the change.

Change: the delay of the event loop is measured ten times a second, and after one of 25 ms or more every call waits for the next poll, as does the first request of a connection.

--- a/packages/sidecar/src/lib/channel/createPeerLink.test.ts
+++ b/packages/sidecar/src/lib/channel/createPeerLink.test.ts
@@ -125,7 +125,7 @@
     {
       clock: sessionClock,
       logger: createSilentLogger(),
-      pacer: createTurnPacer(),
+      pacer: createTurnPacer(() => 0),
       self,
       onReceived: () => undefined,
     },
--- a/packages/sidecar/src/lib/channel/createPeerSession.test.ts
+++ b/packages/sidecar/src/lib/channel/createPeerSession.test.ts
@@ -29,7 +29,7 @@
 function startSession(serve: (call: CallAttempt) => Promise<AttemptResult>) {
   const clock = createFakeClock();
   const session = createPeerSession(
-    { clock, logger: createSilentLogger(), pacer: createTurnPacer() },
+    { clock, logger: createSilentLogger(), pacer: createTurnPacer(() => 0) },
     {
       serve,
       grant: async () => ({ tokens: 1, retryAfterMilliseconds: 0 }),
--- a/packages/sidecar/src/lib/channel/malformedMessages.test.ts
+++ b/packages/sidecar/src/lib/channel/malformedMessages.test.ts
@@ -30,7 +30,7 @@
     {
       clock,
       logger,
-      pacer: createTurnPacer(),
+      pacer: createTurnPacer(() => 0),
       self: identity('serving'),
       onReceived: () => undefined,
     },
--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -7,7 +7,13 @@
 
 import { refuse } from '@buckthornslip/calls';
 import type { AccountId, HostId, Incarnation, ServiceId } from '@buckthornslip/common';
-import { createFakeClock, createSeededRandom, failure, success } from '@buckthornslip/common';
+import {
+  createFakeClock,
+  createSeededRandom,
+  createSystemClock,
+  failure,
+  success,
+} from '@buckthornslip/common';
 import type { CallPolicy, PolicyRoute } from '@buckthornslip/config';
 import type { Member } from '@buckthornslip/membership';
 import { createSilentLogger } from '@buckthornslip/telemetry';
@@ -16,6 +22,7 @@
 import { createRouteTable } from '../policy/createRouteTable';
 import { createPriorityRanks } from '../policy/createPriorityRanks';
 import { createSidecarMetrics } from '../process/createSidecarMetrics';
+import { createLagMonitor } from '../process/createLagMonitor';
 import { createStopBound } from '../process/createStopBound';
 import { createTurnPacer } from '../process/createTurnPacer';
 import { createRunningCalls } from '../serving/createRunningCalls';
@@ -70,6 +77,7 @@
   { refusesCallers = false, policyMilliseconds = 0, stopMilliseconds = Infinity } = {},
 ) {
   const clock = createFakeClock();
+  const lag = createLagMonitor(createSystemClock(), createSilentLogger());
   const stopBound = createStopBound(clock);
   stopBound.start(clock.monotonicMilliseconds() + stopMilliseconds);
   const policy = createPolicy();
@@ -141,7 +149,7 @@
     isStopping: () => refusesCallers,
     refusesCallers: () => refusesCallers,
     stopBound,
-    pacer: createTurnPacer(),
+    pacer: createTurnPacer(lag.delayMilliseconds),
   });
   const server = createServer((request: IncomingMessage, response: ServerResponse) => {
     void entry.handle(request, response);
@@ -163,6 +171,7 @@
       request.end();
     });
   const close = (): void => {
+    lag.stop();
     server.close();
     server.closeAllConnections();
   };
@@ -405,7 +414,7 @@
 const LEAVING_CALLERS = `
   const { connect } = require('node:net');
   const { parentPort, workerData } = require('node:worker_threads');
-  const { count, port } = workerData;
+  const { count, left, port } = workerData;
   let open = 0;
   const sockets = Array.from({ length: count }, () =>
     connect(port, '127.0.0.1', () => {
@@ -413,7 +422,10 @@
       if (open === count) parentPort.postMessage('open');
     }),
   );
-  sockets.forEach((socket) => socket.on('error', () => undefined));
+  sockets.forEach((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('finish', () => Atomics.add(left, 0, 1));
+  });
   parentPort.once('message', () =>
     sockets.forEach((socket) => {
       socket.write('GET /read/1 HTTP/1.1\\r\\nHost: calls.example\\r\\nid: r\\r\\nkey: other-key\\r\\n\\r\\n');
@@ -430,13 +442,14 @@
     runs += 1;
     return answered();
   });
-  const callers = new Worker(LEAVING_CALLERS, { eval: true, workerData: { count, port } });
+  const left = new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT));
+  const callers = new Worker(LEAVING_CALLERS, { eval: true, workerData: { count, left, port } });
   await once(callers, 'message');
   callers.postMessage('leave');
-  const busyUntil = performance.now() + 400;
-  while (performance.now() < busyUntil);
+  const started = performance.now();
+  while (Atomics.load(left, 0) < count || performance.now() - started < 400);
   await sleep(400);
-  test.ok(runs < count / 4, `${runs} of ${count} were sent on`);
+  test.equal(runs, 0, `${runs} of ${count} were sent on`);
   await callers.terminate();
   close();
 });
--- a/packages/sidecar/src/lib/entry/createEntry.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 
 import type { Refusal } from '@buckthornslip/calls';
 import { createCallScope, forwardableHeaders, isServerError, refuse } from '@buckthornslip/calls';
@@ -90,6 +91,7 @@
   const forwarder = createForwarder(options, throttle);
   const pacer = createPiecePacer(clock);
   const uploadBudget = createBodyBudget(options.uploadBytes);
+  const seenConnections = new WeakSet<Socket>();
   let running = 0;
 
   const logLeft = (head: RequestHead, route: string | undefined, arrivedMilliseconds: number) => {
@@ -244,7 +246,10 @@
   const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const arrivedMilliseconds = clock.monotonicMilliseconds();
     const head = protocol.readRequest(request.headers);
-    await options.pacer.wait();
+    // A poll accepts one connection, so that one of many may have waited, and its caller may have closed it since.
+    const isFirst = !seenConnections.has(request.socket);
+    seenConnections.add(request.socket);
+    await options.pacer.wait(isFirst);
     if (!policy.current()) {
       await Promise.race([policy.whenAvailable(), clock.sleep(POLICY_WAIT_MILLISECONDS)]);
     }
--- a/packages/sidecar/src/lib/process/createLagMonitor.ts
+++ b/packages/sidecar/src/lib/process/createLagMonitor.ts
@@ -1,8 +1,8 @@
 import type { Clock } from '@buckthornslip/common';
 import type { EventLogger } from '@buckthornslip/telemetry';
 
-/** Interval at which the delay of timers is measured, in milliseconds. */
-const CHECK_MILLISECONDS = 1_000;
+/** Interval at which the delay of timers is measured, in milliseconds. A longer turn of the event loop is always noticed. */
+const CHECK_MILLISECONDS = 100;
 
 /** Shortest delay that is logged, in milliseconds. */
 const LOGGED_DELAY_MILLISECONDS = 250;
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -428,7 +428,7 @@
     }),
     logger,
   });
-  const pacer = createTurnPacer();
+  const pacer = createTurnPacer(lag.delayMilliseconds);
   const entryStopBound = createStopBound(clock);
   const entry = createEntry({
     clock,
--- a/packages/sidecar/src/lib/process/createTurnPacer.test.ts
+++ b/packages/sidecar/src/lib/process/createTurnPacer.test.ts
@@ -18,9 +18,9 @@
   };
 }
 
-function createFixture() {
+function createFixture(delayMilliseconds = 0) {
   const turns = createTurns();
-  const pacer = createTurnPacer(turns.next);
+  const pacer = createTurnPacer(() => delayMilliseconds, turns.next);
   const begun: number[] = [];
   const begin = (call: number): void => {
     const waiting = pacer.wait();
@@ -65,3 +65,29 @@
   );
   test.ok(turns.isIdle());
 });
+
+// Guards against calls that begin first after a long turn, although their callers left while they waited to be read.
+void t.test('after a long turn a call waits for the next poll', async (test) => {
+  const { begin, begun, settle, turns } = createFixture(600);
+  begin(1);
+  turns.make(1);
+  await settle();
+  test.same(begun, [], 'the next poll comes after this turn');
+  turns.make(1);
+  await settle();
+  test.same(begun, [1]);
+});
+
+// Guards against a call that begins in the turn in which it was read, because earlier calls are released in that turn.
+void t.test('a call that is read while others wait also waits for the next poll', async (test) => {
+  const { begin, begun, settle, turns } = createFixture(600);
+  begin(1);
+  turns.make(1);
+  begin(2);
+  turns.make(1);
+  await settle();
+  test.same(begun, [1]);
+  turns.make(1);
+  await settle();
+  test.same(begun, [1, 2]);
+});
--- a/packages/sidecar/src/lib/process/createTurnPacer.ts
+++ b/packages/sidecar/src/lib/process/createTurnPacer.ts
@@ -5,8 +5,11 @@
  * @internal
  */
 export interface TurnPacer {
-  /** @returns Undefined if a call may begin now, otherwise a promise that resolves when it may. */
-  readonly wait: () => Promise<void> | undefined;
+  /**
+   * @param mayBeOld - Whether the call may have waited long before it was read.
+   * @returns Undefined if the call may begin now, otherwise a promise that resolves when it may.
+   */
+  readonly wait: (mayBeOld?: boolean) => Promise<void> | undefined;
 }
 
 /** Calls that begin in one turn. */
@@ -15,42 +18,56 @@
 /** Calls after which the pacer waits for the next turn to count anew; a timer for each call would cost more. */
 const UNCOUNTED_CALLS = 4;
 
+/**
+ * Delay of timers from which all calls wait for the next poll, in milliseconds. What is read after a long turn has waited in the
+ * meantime, perhaps together with the departure of its caller.
+ */
+const LATE_MILLISECONDS = 25;
+
 /**
  * Creates the pacer of a process.
  *
+ * @param delayMilliseconds - Last measured delay of the event loop, in milliseconds.
  * @param nextTurn - Calls a function after what has arrived was handled; by default, after the present poll.
  * @returns A pacer of which no call is waiting.
  * @internal
  */
 export function createTurnPacer(
+  delayMilliseconds: () => number,
   nextTurn: (callback: () => void) => void = setImmediate,
 ): TurnPacer {
-  const waiting: (() => void)[] = [];
+  /** Calls that were read before the last poll. */
+  const polled: (() => void)[] = [];
+  /** Calls that were read in the last poll. */
+  let read: (() => void)[] = [];
   let begun = 0;
   let isScheduled = false;
 
-  const release = (): void => {
-    const released = waiting.splice(0, CALLS_PER_TURN);
-    begun = released.length;
-    isScheduled = waiting.length > 0 || begun >= UNCOUNTED_CALLS;
-    if (isScheduled) nextTurn(release);
-    released.forEach((begin) => begin());
-  };
-
-  /** The end of the present turn comes before the next poll. */
   const schedule = (): void => {
     if (isScheduled) return;
     isScheduled = true;
-    nextTurn(() => nextTurn(release));
+    nextTurn(endTurn);
   };
 
+  function endTurn(): void {
+    isScheduled = false;
+    const released = polled.splice(0, CALLS_PER_TURN);
+    polled.push(...read);
+    read = [];
+    begun = released.length;
+    if (polled.length > 0 || begun >= UNCOUNTED_CALLS) schedule();
+    released.forEach((begin) => begin());
+  }
+
   return {
-    wait: () => {
+    wait: (mayBeOld = false) => {
       begun += 1;
-      if (begun >= UNCOUNTED_CALLS) schedule();
-      if (begun <= CALLS_PER_TURN && waiting.length === 0) return undefined;
+      const isLate = mayBeOld || delayMilliseconds() >= LATE_MILLISECONDS;
+      if (isLate || begun >= UNCOUNTED_CALLS) schedule();
+      const mayBegin = !isLate && begun <= CALLS_PER_TURN;
+      if (mayBegin && polled.length + read.length === 0) return undefined;
       return new Promise((resolve) => {
-        waiting.push(resolve);
+        read.push(resolve);
       });
     },
   };
