sidecar: the body of a call that was refused unread is dropped

Cause: an attempt is kept for five seconds after its answer, with its body receiver, and nothing freed what had been received of the body of a refused call: up to 256 KiB each.

Change: a body that nobody has begun to read when its call is answered is dropped.

--- a/packages/sidecar/src/lib/channel/BodyChannel.ts
+++ b/packages/sidecar/src/lib/channel/BodyChannel.ts
@@ -17,6 +17,8 @@
   readonly push: (part: BodyPartFields) => void;
   /** Fails the stream because the connection was lost. */
   readonly fail: () => void;
+  /** Ends the stream and frees what was received, because nobody will read it. */
+  readonly drop: () => void;
 }
 
 /**
--- a/packages/sidecar/src/lib/channel/createBodyReceiver.ts
+++ b/packages/sidecar/src/lib/channel/createBodyReceiver.ts
@@ -46,6 +46,10 @@
       if (isWanted || last) deliver();
       if (last) stream.push(null);
     },
+    drop: () => {
+      waiting.take();
+      stream.destroy();
+    },
     fail: () => {
       if (!stream.readableEnded) stream.destroy(new Error('connection to the other node was lost'));
     },
--- a/packages/sidecar/src/lib/channel/createPeerSession.test.ts
+++ b/packages/sidecar/src/lib/channel/createPeerSession.test.ts
@@ -1,5 +1,6 @@
 import { Readable } from 'node:stream';
 
+import { refuse } from '@buckthornslip/calls';
 import { createFakeClock } from '@buckthornslip/common';
 import { createSilentLogger } from '@buckthornslip/telemetry';
 import type { channelMessages } from '@buckthornslip/wire';
@@ -114,3 +115,30 @@
   test.same([...new Set(kinds)], ['answer', 'bodyPart']);
   test.match(first.sent.at(-1), { value: { last: true } });
 });
+
+/** Sends an upload of which one part arrives, and returns its stream after the call was answered. */
+async function upload(isRead: boolean) {
+  let stream: Readable | undefined;
+  const { call, session } = startSession(async ({ body }) => {
+    if (body.kind === 'stream') stream = body.stream;
+    if (isRead) stream?.on('data', () => undefined);
+    await turn();
+    return { answer: refuse('queue-full'), load: undefined };
+  });
+  session.onCall({ ...call, bodyFollows: true });
+  session.onBodyPart({ id: 1, bytes: Buffer.alloc(PART_BYTES), last: false, broken: false });
+  await turn();
+  await turn();
+  await turn();
+  return stream;
+}
+
+// Guards against memory that is kept for the bodies of refused calls, as long as their answers are retained.
+void t.test('the body of a call that was refused unread is dropped', async (test) => {
+  test.equal((await upload(false))?.destroyed, true);
+});
+
+// Guards against a body that the upstream gets truncated because it has answered early.
+void t.test('a body that is being read is not dropped', async (test) => {
+  test.equal((await upload(true))?.destroyed, false);
+});
--- a/packages/sidecar/src/lib/channel/createPeerSession.ts
+++ b/packages/sidecar/src/lib/channel/createPeerSession.ts
@@ -26,7 +26,7 @@
   readonly requestId: string;
   readonly receivedMilliseconds: number;
   readonly scope: CallScope;
-  readonly receiver: BodyReceiver | undefined;
+  receiver: BodyReceiver | undefined;
   sender: BodySender | undefined;
   result: AttemptResult | undefined;
   /** Whether it was cancelled because its connection was lost. */
@@ -136,10 +136,18 @@
     return refused('may-have-run');
   };
 
+  /** The attempt is retained for longer than its answer takes. A body that is being read still ends at the upstream. */
+  const dropUnreadBody = (attempt: Attempt): void => {
+    if (attempt.receiver?.stream.readableFlowing !== null) return;
+    attempt.receiver.drop();
+    Object.assign(attempt, { receiver: undefined });
+  };
+
   const finish = (id: number, attempt: Attempt, served: AttemptResult): void => {
     const result = withoutUnsendableRest(attempt.isOrphaned ? reportOrphaned(served) : served);
     const rest = result.answer.kind === 'answer' ? result.answer.rest : undefined;
     Object.assign(attempt, { result });
+    dropUnreadBody(attempt);
     send(id, result);
     if (rest) {
       // The other node can't resume a body, so its call is needed only until the body ends.
