sidecar: a call that has waited begins after the next poll if turns are long

Found by reading all waits between the arrival of a request and its sending; no trace shows this one alone.

Evidence: createEntry.test.ts, "a request that has waited is not sent on before the next poll", and createCallServer.test.ts, "a call that was queued is not run before the next poll", failed before the change.

Change: after such a wait the call waits for one more poll if the last measured delay of the event loop is 25 ms or more.

--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -24,6 +24,7 @@
 import { createSidecarMetrics } from '../process/createSidecarMetrics';
 import { createLagMonitor } from '../process/createLagMonitor';
 import { createStopBound } from '../process/createStopBound';
+import type { TurnPacer } from '../process/createTurnPacer';
 import { createTurnPacer } from '../process/createTurnPacer';
 import { createRunningCalls } from '../serving/createRunningCalls';
 import type { CallAttempt } from '../serving/CallAttempt';
@@ -74,7 +75,12 @@
 
 async function startEntry(
   serve: EntryOptions['callServer']['serve'],
-  { refusesCallers = false, policyMilliseconds = 0, stopMilliseconds = Infinity } = {},
+  {
+    refusesCallers = false,
+    policyMilliseconds = 0,
+    stopMilliseconds = Infinity,
+    pacer = undefined as TurnPacer | undefined,
+  } = {},
 ) {
   const clock = createFakeClock();
   const lag = createLagMonitor(createSystemClock(), createSilentLogger());
@@ -149,7 +155,7 @@
     isStopping: () => refusesCallers,
     refusesCallers: () => refusesCallers,
     stopBound,
-    pacer: createTurnPacer(lag.delayMilliseconds),
+    pacer: pacer ?? createTurnPacer(lag.delayMilliseconds),
   });
   const server = createServer((request: IncomingMessage, response: ServerResponse) => {
     void entry.handle(request, response);
@@ -454,6 +460,33 @@
   close();
 });
 
+// Guards against sending a request on whose caller left during a wait, when a busy node reads the end of the wait first.
+void t.test('a request that has waited is not sent on before the next poll', async (test) => {
+  let runs = 0;
+  let poll = (): void => undefined;
+  const polled = new Promise<void>((resolve) => {
+    poll = resolve;
+  });
+  const { close, port, received } = await startEntry(
+    async () => {
+      runs += 1;
+      return answered();
+    },
+    { pacer: { wait: () => undefined, waitIfLate: () => polled } },
+  );
+  const headers = { Host: 'calls.example', id: 'r', key: 'other-key' };
+  const request = httpRequest({ host: '127.0.0.1', port, path: '/read/1', headers });
+  request.on('error', () => undefined);
+  request.end();
+  await Promise.race([received(), once(request, 'response')]);
+  request.destroy();
+  await sleep(100);
+  poll();
+  await sleep(50);
+  test.equal(runs, 0);
+  close();
+});
+
 // Guards against a node that missed an upstream's departure and keeps sending calls there.
 void t.test('a node that refuses because of its state is asked for its record', async (test) => {
   const reasons = ['queue-timeout', 'no-upstream'] as const;
--- a/packages/sidecar/src/lib/entry/createForwarder.ts
+++ b/packages/sidecar/src/lib/entry/createForwarder.ts
@@ -68,7 +68,7 @@
   throttle: Pick<EntryThrottle, 'recordAttempt'>,
 ): Forwarder {
   const { clock, costs, host, links, logger, metrics, refreshMember, retries, router } = options;
-  const { callServer } = options;
+  const { callServer, pacer } = options;
 
   const send = async (
     member: Member,
@@ -132,6 +132,7 @@
     let last: Refusal = refuse('no-upstream');
     if (!call.isRepeat) retries.countFirstAttempt(call.service);
     for (;;) {
+      await pacer.waitIfLate();
       const reason = scope.cancelReason();
       if (reason !== undefined) return progress.finish(refuse(reason));
       const costMilliseconds = costs?.expected(call);
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -141,6 +141,7 @@
     onReceived: () => recordContact(),
   });
   const lag = createLagMonitor(clock, logger);
+  const pacer = createTurnPacer(lag.delayMilliseconds);
   let isStopping = false;
   let isDraining = false;
   let refusesCallers = false;
@@ -410,6 +411,7 @@
   const servingStopBound = createStopBound(clock);
   const callServer = createCallServer({
     stopBound: servingStopBound,
+    pacer,
     clock,
     admission,
     upstream,
@@ -428,7 +430,6 @@
     }),
     logger,
   });
-  const pacer = createTurnPacer(lag.delayMilliseconds);
   const entryStopBound = createStopBound(clock);
   const entry = createEntry({
     clock,
--- a/packages/sidecar/src/lib/process/createTurnPacer.ts
+++ b/packages/sidecar/src/lib/process/createTurnPacer.ts
@@ -10,6 +10,13 @@
    * @returns Undefined if the call may begin now, otherwise a promise that resolves when it may.
    */
   readonly wait: (mayBeOld?: boolean) => Promise<void> | undefined;
+  /**
+   * For a call that has waited for something since it began: the end of that wait may have been read together with, but before, the
+   * departure of its caller.
+   *
+   * @returns Undefined if turns are short, otherwise a promise that resolves after the next poll.
+   */
+  readonly waitIfLate: () => Promise<void> | undefined;
 }
 
 /** Calls that begin in one turn. */
@@ -59,16 +66,24 @@
     released.forEach((begin) => begin());
   }
 
+  const hasLongTurns = (): boolean => delayMilliseconds() >= LATE_MILLISECONDS;
+
+  const waitForPoll = (): Promise<void> => {
+    schedule();
+    return new Promise((resolve) => {
+      read.push(resolve);
+    });
+  };
+
   return {
+    waitIfLate: () => (hasLongTurns() ? waitForPoll() : undefined),
     wait: (mayBeOld = false) => {
       begun += 1;
-      const isLate = mayBeOld || delayMilliseconds() >= LATE_MILLISECONDS;
-      if (isLate || begun >= UNCOUNTED_CALLS) schedule();
+      const isLate = mayBeOld || hasLongTurns();
+      if (begun >= UNCOUNTED_CALLS) schedule();
       const mayBegin = !isLate && begun <= CALLS_PER_TURN;
       if (mayBegin && polled.length + read.length === 0) return undefined;
-      return new Promise((resolve) => {
-        read.push(resolve);
-      });
+      return waitForPoll();
     },
   };
 }
--- a/packages/sidecar/src/lib/serving/createCallServer.test.ts
+++ b/packages/sidecar/src/lib/serving/createCallServer.test.ts
@@ -10,6 +10,7 @@
 
 import { createConnectionPool } from '../http/createConnectionPool';
 import { createStopBound } from '../process/createStopBound';
+import type { TurnPacer } from '../process/createTurnPacer';
 import { createCallServer } from './createCallServer';
 import { createNestedShares } from './createNestedShares';
 import type { UpstreamInstance } from './UpstreamInstance';
@@ -26,8 +27,14 @@
 }
 
 /** Starts a call server whose upstream responds with a status after nested calls that ended as given. */
-async function startCallServer(status: number, nested: Nested) {
+async function startCallServer(
+  status: number,
+  nested: Nested,
+  pacer: Pick<TurnPacer, 'waitIfLate'> = { waitIfLate: ignore },
+) {
+  let runs = 0;
   const server = createServer((_request, response) => {
+    runs += 1;
     response.writeHead(status, { 'Content-Length': 0 }).end();
   });
   await new Promise<void>((resolve) => {
@@ -108,10 +115,10 @@
     repeats: { countFirstAttempt: ignore, tryRepeat: () => true },
     suspects: { check: ignore, begin: () => ({ end: ignore }), recordEnd: ignore },
     stopBound,
+    pacer,
     logger: createSilentLogger(),
   });
-  const serve = async () => {
-    const scope = createCallScope(clock, 1_500);
+  const serve = async (scope = createCallScope(clock, 1_500)) => {
     const result = await callServer.serve({
       requestId: 'r',
       route: 'read',
@@ -137,7 +144,7 @@
     server.close();
     server.closeAllConnections();
   };
-  return { serve, close, stopBound };
+  return { admission, runs: () => runs, serve, close, stopBound };
 }
 
 const cases = [
@@ -181,3 +188,23 @@
   test.match(refused.answer, { kind: 'refusal', reason: 'node-stopping', outcome: 'not-run' });
   close();
 });
+
+// Guards against running a call that was cancelled while it was queued, when a busy node reads the end of an earlier call first.
+void t.test('a call that was queued is not run before the next poll', async (test) => {
+  const scope = createCallScope(clock, 1_500);
+  const pacer = {
+    waitIfLate: async () => {
+      scope.cancel('caller-gone');
+    },
+  };
+  const { admission, close, runs, serve } = await startCallServer(200, nestedCalls.none, pacer);
+  admission.setMaximumRunning(0);
+  const serving = serve(scope);
+  await clock.sleep(20);
+  admission.setMaximumRunning(1);
+  const { answer } = await serving;
+  test.match(answer, { kind: 'refusal', reason: 'caller-gone', outcome: 'not-run' });
+  test.equal(runs(), 0);
+  test.equal(admission.load().running, 0);
+  close();
+});
--- a/packages/sidecar/src/lib/serving/createCallServer.ts
+++ b/packages/sidecar/src/lib/serving/createCallServer.ts
@@ -17,6 +17,7 @@
 import { whenClosed } from '../http/whenClosed';
 import { priorityOfRank } from '../policy/priorityOfRank';
 import type { StopBound } from '../process/createStopBound';
+import type { TurnPacer } from '../process/createTurnPacer';
 import type { CallProtocol } from '../protocol/CallProtocol';
 import { isNotRunStatus } from '../protocol/isNotRunStatus';
 import type { ResponseHead } from '../protocol/ResponseHead';
@@ -49,6 +50,7 @@
   readonly costs: CallCosts | undefined;
   /** Takes the speed of the upstream after each call. */
   readonly recordSpeed: (speed: number | undefined) => void;
+  readonly pacer: Pick<TurnPacer, 'waitIfLate'>;
   /** Tells which calls end before this node, if it is stopping. */
   readonly stopBound: Pick<StopBound, 'mayFit' | 'observe'>;
   readonly logger: EventLogger;
@@ -136,7 +138,7 @@
  */
 export function createCallServer(options: CallServerOptions): CallServer {
   const { admission, clock, logger, poolOf, protocol, running, statedLimit, upstream } = options;
-  const { costs, gate, nestedShares, recordSpeed, repeats, stopBound, suspects } = options;
+  const { costs, gate, nestedShares, pacer, recordSpeed, repeats, stopBound, suspects } = options;
 
   const refuseByState = (
     call: CallAttempt,
@@ -342,6 +344,15 @@
     return undefined;
   };
 
+  const admitQueued: (
+    request: AdmissionRequest,
+    call: CallAttempt,
+  ) => ReturnType<AdmissionController['admit']> = async (request, { scope }) => {
+    const admitted = await admission.admit(request, scope.signal);
+    await pacer.waitIfLate();
+    return admitted;
+  };
+
   const admit = async (call: CallAttempt): Promise<ServedCall> => {
     if (gate.permission() === 'unknown') {
       await Promise.race([gate.whenKnown(), clock.sleep(ORDERS_WAIT_MILLISECONDS)]);
@@ -359,8 +370,7 @@
       // The entry node has seen responses of several upstreams, this node perhaps only those of its own.
       ...(costs && { costMilliseconds: call.costMilliseconds ?? costs.expected(call) }),
     };
-    const admitted =
-      admission.tryAdmit(request) ?? (await admission.admit(request, call.scope.signal));
+    const admitted = admission.tryAdmit(request) ?? (await admitQueued(request, call));
     if (!admitted.ok) {
       const load = admission.load();
       const { requestId, rank } = call;
--- a/packages/sidecar/src/lib/serving/evacuatedQueue.test.ts
+++ b/packages/sidecar/src/lib/serving/evacuatedQueue.test.ts
@@ -57,6 +57,7 @@
   let permission: ServingPermission = 'unknown';
   const callServer = createCallServer({
     stopBound: createStopBound(clock),
+    pacer: { waitIfLate: () => undefined },
     clock,
     admission,
     upstream: {
