limits: a lower limit takes effect in time for quiet accounts as well

Cause: the grace period of a lower limit began when the ledger next looked at the allowance, which is at the account's next request.

Evidence: createAccountLedger.test.ts failed before the change: 50 tokens instead of 5, 10 s after the limit was lowered.

Change: the ledger looks at the allowances of its accounts when a policy comes into force.

--- a/packages/limits/src/lib/ledger/AccountLedger.ts
+++ b/packages/limits/src/lib/ledger/AccountLedger.ts
@@ -15,6 +15,8 @@
    * to wait longer, it is answered at once without tokens.
    */
   readonly grant: (request: LedgerRequest) => Promise<LedgerGrant>;
+  /** Takes note that the allowances may have changed, so that a lower one takes effect in time for quiet accounts as well. */
+  readonly applyPolicy: () => void;
 }
 
 /** Dependencies and settings of a ledger. */
--- a/packages/limits/src/lib/ledger/createAccountLedger.ts
+++ b/packages/limits/src/lib/ledger/createAccountLedger.ts
@@ -48,6 +48,7 @@
  */
 export function createAccountLedger(clock: Clock, options: AccountLedgerOptions): AccountLedger {
   const queues = new Map<AccountId, TokenRequestQueue>();
+  const effectiveAllowances: (() => AccountAllowance)[] = [];
   const startedMilliseconds = clock.monotonicMilliseconds();
 
   const queueOf = (account: AccountId): TokenRequestQueue => {
@@ -57,6 +58,7 @@
       clock,
       () => options.allowanceOf(account) ?? NO_ALLOWANCE,
     );
+    effectiveAllowances.push(whole);
     const allowance = (): AccountAllowance => shareOf(whole(), options.share());
     const age = clock.monotonicMilliseconds() - startedMilliseconds;
     const startsFull =
@@ -70,6 +72,7 @@
   };
 
   return {
+    applyPolicy: () => effectiveAllowances.forEach((allowance) => allowance()),
     grant: (request) => {
       const allowance = options.allowanceOf(request.account);
       if (!allowance) {
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -469,6 +469,7 @@
   function applyPolicy(next: CallPolicy): void {
     routes = createRouteTable(next, random);
     priorityRanks = createPriorityRanks(next);
+    ledger.applyPolicy();
     upstreamConnections = next.services.get(service)?.connections ?? upstreamConnections;
     coldLimit.configure(next.services.get(service));
     callers.apply(next.requestLimits);
