limits: a ledger that comes back starts with few tokens

Cause: a node kept the bucket of an account whose ledger had moved on. When the ledger came back, the bucket had been refilled, while the other node had granted tokens.

--- a/packages/limits/src/lib/ledger/AccountLedger.ts
+++ b/packages/limits/src/lib/ledger/AccountLedger.ts
@@ -17,6 +17,12 @@
   readonly grant: (request: LedgerRequest) => Promise<LedgerGrant>;
   /** Takes note that the allowances may have changed, so that a lower one takes effect in time for quiet accounts as well. */
   readonly applyPolicy: () => void;
+  /**
+   * Forgets the buckets of accounts whose ledger another node keeps now. If it comes back, that node may have granted tokens.
+   *
+   * @param isKeptHere - Whether this node keeps the ledger of an account.
+   */
+  readonly forgetMoved: (isKeptHere: (account: AccountId) => boolean) => void;
 }
 
 /** Dependencies and settings of a ledger. */
--- a/packages/limits/src/lib/ledger/createAccountLedger.ts
+++ b/packages/limits/src/lib/ledger/createAccountLedger.ts
@@ -48,7 +48,9 @@
  */
 export function createAccountLedger(clock: Clock, options: AccountLedgerOptions): AccountLedger {
   const queues = new Map<AccountId, TokenRequestQueue>();
-  const effectiveAllowances: (() => AccountAllowance)[] = [];
+  const effectiveAllowances = new Map<AccountId, () => AccountAllowance>();
+  /** Accounts whose ledger another node has kept since the start of this one. */
+  const moved = new Set<AccountId>();
   const startedMilliseconds = clock.monotonicMilliseconds();
 
   const queueOf = (account: AccountId): TokenRequestQueue => {
@@ -58,11 +60,11 @@
       clock,
       () => options.allowanceOf(account) ?? NO_ALLOWANCE,
     );
-    effectiveAllowances.push(whole);
+    effectiveAllowances.set(account, whole);
     const allowance = (): AccountAllowance => shareOf(whole(), options.share());
     const age = clock.monotonicMilliseconds() - startedMilliseconds;
-    const startsFull =
-      options.isFirstStart && age < FIRST_START_PERIOD_MILLISECONDS && !options.hasLostNodes();
+    const isFirst = options.isFirstStart && age < FIRST_START_PERIOD_MILLISECONDS;
+    const startsFull = isFirst && !options.hasLostNodes() && !moved.has(account);
     const { burst } = allowance();
     const initialTokens = startsFull ? burst : Math.min(burst, MOVED_BUCKET_TOKENS);
     const bucket = createTokenBucket(clock, () => tokenRateOf(allowance()), initialTokens);
@@ -73,6 +75,14 @@
 
   return {
     applyPolicy: () => effectiveAllowances.forEach((allowance) => allowance()),
+    forgetMoved: (isKeptHere) =>
+      [...queues.keys()]
+        .filter((account) => !isKeptHere(account))
+        .forEach((account) => {
+          queues.delete(account);
+          effectiveAllowances.delete(account);
+          moved.add(account);
+        }),
     grant: (request) => {
       const allowance = options.allowanceOf(request.account);
       if (!allowance) {
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -334,6 +334,9 @@
     hasLostNodes: directory.hasLostNodes,
   });
   const locator = createLedgerLocator(directory);
+  const stopForgetting = ticker.add(() =>
+    ledger.forgetMoved((account) => locator.locate(account)?.host === host),
+  );
   const { suspect, whenInformed } = directory;
   const rateLimiter = createLedgerRateLimiter({
     clock,
@@ -519,6 +522,7 @@
 
   const closeAll = (): void => {
     lag.stop();
+    stopForgetting();
     peerListener.close();
     directory.close();
     policy.close();
