sidecar: bodies are read before their requests wait for a turn

Cause: a request waited for its turn before its body was read. Node.js keeps an object for each chunk of a body that nobody reads.

Change: a request waits when its body has been read, or as much of it as is kept.

--- a/packages/sidecar/src/lib/entry/createEntry.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.ts
@@ -176,6 +176,13 @@
     return BUFFERED_UPLOAD_BYTES;
   };
 
+  const waitForTurn = async ({ socket }: IncomingMessage): Promise<void> => {
+    // A poll accepts one connection, so that one of many may have waited, and its caller may have closed it since.
+    const isFirst = !seenConnections.has(socket);
+    seenConnections.add(socket);
+    await options.pacer.wait(isFirst);
+  };
+
   const run = async (
     request: IncomingMessage,
     response: ServerResponse,
@@ -204,6 +211,12 @@
     });
     if (!read.ok && read.error === 'caller-gone') return undefined;
     if (!read.ok) return notSent(refuse(read.error));
+    // What arrives of a body that nobody reads would take far more memory, so the body is read first.
+    await waitForTurn(request);
+    if (hasLeft(request, response)) {
+      scope.cancel('caller-gone');
+      return undefined;
+    }
     const refusal = await checkRateLimit(account?.id);
     if (refusal) return notSent(refusal);
     return forwardThrottled(accepted, {
@@ -246,14 +259,10 @@
   const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const arrivedMilliseconds = clock.monotonicMilliseconds();
     const head = protocol.readRequest(request.headers);
-    // A poll accepts one connection, so that one of many may have waited, and its caller may have closed it since.
-    const isFirst = !seenConnections.has(request.socket);
-    seenConnections.add(request.socket);
-    await options.pacer.wait(isFirst);
     if (!policy.current()) {
       await Promise.race([policy.whenAvailable(), clock.sleep(POLICY_WAIT_MILLISECONDS)]);
     }
-    if (hasLeft(request, response)) {
+    if (response.destroyed) {
       logLeft(head, undefined, arrivedMilliseconds);
       return;
     }
