directory: a restarted node that waits for the store grants nothing on its own

Cause: a node acts on the nodes it knows 1.5 s after its start, if it could not read the others' records by then. If the store is away for longer, the node has only itself when it gets the policy.

Change: that time begins with the first policy, without which a node serves nobody.

--- a/packages/sidecar/src/lib/directory/createMemberDirectory.ts
+++ b/packages/sidecar/src/lib/directory/createMemberDirectory.ts
@@ -448,8 +448,17 @@
 
   /** A relay reads the records of other zones, another node gets them from the relays of its zone. */
   const learnOtherZones = async (): Promise<void> => {
-    if (isRelay()) await readAllZones();
-    else await Promise.all(otherRelays().map((relay) => exchangeWith(relay)));
+    if (isRelay()) {
+      if (await readAllZones()) resolveInformed();
+    } else await Promise.all(otherRelays().map((relay) => exchangeWith(relay)));
+  };
+
+  /** A node without a policy serves nobody, so it can wait for the store or another node as long as they are away. */
+  const stopWaitingToBeInformed = async (): Promise<void> => {
+    while (!isClosed && policyRevision() === 0)
+      await clock.sleep(directoryTimes.policyCheckInterval);
+    await clock.sleep(directoryTimes.informedTimeout);
+    resolveInformed();
   };
 
   /**
@@ -457,7 +466,7 @@
    * store, a list from another node does.
    */
   const informAfterRestart = async (): Promise<void> => {
-    clock.setTimer(directoryTimes.informedTimeout, resolveInformed);
+    void stopWaitingToBeInformed();
     if (await readAllZones()) resolveInformed();
   };
 
--- a/packages/sidecar/src/lib/directory/directoryTimes.ts
+++ b/packages/sidecar/src/lib/directory/directoryTimes.ts
@@ -12,8 +12,13 @@
   changeDelay: 50,
   /** Time after the start at which a node decides whether it is a relay; until then it may not know its zone. */
   firstRoleDelay: 1_000,
-  /** Time after a restart after which a node acts on the nodes it knows, even if it has not read the records of the others. */
+  /**
+   * Time from which a restarted node acts on the nodes it knows, even if it has not read the records of the others. It begins with the
+   * first policy.
+   */
   informedTimeout: 1_500,
+  /** Interval at which a restarted node checks whether it has a policy. */
+  policyCheckInterval: 250,
   /** Longest wait of an acknowledgement for the store; a departing upstream waits for a second in all. */
   departureSaveTimeout: 600,
   /** Delay before a policy is fetched from another zone, because the relays usually read it from the store. */
--- a/packages/sidecar/src/lib/quota/createLedgerPeers.test.ts
+++ b/packages/sidecar/src/lib/quota/createLedgerPeers.test.ts
@@ -148,3 +148,39 @@
     test.ok(least >= ALLOWANCE.ratePerSecond * 5 * 0.5, `${least} tokens in 5 s at least`);
   });
 }
+
+/** Time for which the store is away after all nodes have restarted; longer than nodes wait to be told of the others. */
+const LONG_OUTAGE_MILLISECONDS = 3_500;
+
+// Guards against an account that exceeds its limit when the store is back: nodes that could not read the records of the others
+// get the policy first.
+void t.test('nodes restart together while the store is away for long', async (test) => {
+  const fleet = createDirectoryFleet(202_612_071);
+  HOSTS.forEach((host) => fleet.start(host));
+  await fleet.publish(1);
+  await fleet.clock.advance(5_000);
+  HOSTS.forEach((host) => fleet.end(host));
+  fleet.store.faults.setDown(true);
+  await fleet.clock.advance(1_000);
+  HOSTS.forEach((host) => fleet.start(host));
+  await fleet.clock.advance(LONG_OUTAGE_MILLISECONDS);
+  fleet.store.faults.setDown(false);
+  const ledgers = createLedgers(fleet);
+  let granted = 0;
+  const countTokens = ({ tokens }: LedgerGrant): void => {
+    granted += tokens;
+  };
+  for (let elapsed = 0; elapsed < PLAYED_MILLISECONDS; elapsed += 50) {
+    ledgers.forEach((ledger, index) => {
+      if (fleet.policyRevision(HOSTS[index] as string) === 0) return;
+      void ledger
+        .request({ account: ACCOUNT, needed: 3, ahead: 0 })
+        .then((result) => result.ok && countTokens(result.value));
+    });
+    await fleet.clock.advance(50);
+  }
+  const seconds = PLAYED_MILLISECONDS / 1_000;
+  const allowed = ALLOWANCE.ratePerSecond * seconds + ALLOWANCE.burst;
+  test.ok(granted <= allowed, `${granted} tokens, ${allowed} allowed`);
+  test.ok(granted >= 0.2 * ALLOWANCE.ratePerSecond * seconds, `${granted} tokens`);
+});
