--- a/packages/sidecar/src/lib/channel/createCancellations.ts
+++ b/packages/sidecar/src/lib/channel/createCancellations.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@buckthornslip/common';
 
 import type { LinkConnection } from './createLinkConnector';
+import { isSameSession } from './isSameSession';
 
 /** A call that was given up, of which the serving node may not know yet. */
 interface Cancellation {
@@ -35,16 +36,6 @@
 /** Most cancellations that are remembered, the latest ones. */
 const MAXIMUM_CANCELLATIONS = 4_096;
 
-/**
- * @param one - A connection.
- * @param other - A connection.
- * @returns Whether both continue the same session of the same process.
- * @internal
- */
-export function isSameSession(one: LinkConnection, other: LinkConnection): boolean {
-  return one.incarnation === other.incarnation && one.session === other.session;
-}
-
 /**
  * @param clock - Source of time.
  * @returns An empty collection.
