--- a/packages/sidecar/src/lib/policy/createPolicyFetcher.ts
+++ b/packages/sidecar/src/lib/policy/createPolicyFetcher.ts
@@ -60,7 +60,10 @@
     const delayMilliseconds = handled.size * NEXT_ANNOUNCER_DELAY_MILLISECONDS;
     handled.set(address, revision);
     if (delayMilliseconds > 0) await clock.sleep(delayMilliseconds);
-    if (isNeeded()) await fetch(announcement);
+    if (isNeeded()) {
+      logger.log('policyRequested', { address, revision, waitedMilliseconds: delayMilliseconds });
+      await fetch(announcement);
+    }
     if (handled.get(address) === revision) handled.delete(address);
     if (isNeeded() && handled.size === 0) readStore();
   };
--- a/packages/telemetry/src/lib/events/sidecarEvents.ts
+++ b/packages/telemetry/src/lib/events/sidecarEvents.ts
@@ -170,6 +170,11 @@
     level: 'info',
     message: 'another node has a newer policy',
   },
+  policyRequested: {
+    number: 7310,
+    level: 'info',
+    message: 'newer policy is requested from a node that has announced it',
+  },
   policyFetchFailed: {
     number: 7308,
     level: 'warn',
