sidecar: a newer policy does not wait for the announcers of an earlier one

Cause: a node asked the announcers of a policy in turn, 250 ms apart, and kept each until its turn had passed, also when the policy was in force. A new node greets its whole zone and is told by each node, so that it kept 25 announcers for 6 s, and a newer policy was put behind them.

Change: a newer policy is requested at once. Announcers that are not needed any more are dropped. Each turn asks twice as many as the one before, so that the wait for one of 25 nodes that answers is 1 s and not 6 s. If the store has to be read, a request for an obsolete policy does not delay it.

--- a/packages/sidecar/src/lib/policy/createPolicyFetcher.ts
+++ b/packages/sidecar/src/lib/policy/createPolicyFetcher.ts
@@ -27,12 +27,18 @@
   readonly announce: (announcement: PolicyAnnouncement) => void;
 }
 
-/** Time that a node has to answer before the next announcer is asked as well, in milliseconds. */
-const NEXT_ANNOUNCER_DELAY_MILLISECONDS = 250;
+/** An announcement whose announcer has not been asked yet. */
+interface WaitingAnnouncement extends PolicyAnnouncement {
+  readonly sinceMilliseconds: number;
+}
+
+/** Time that nodes have to answer before further announcers are asked as well, in milliseconds. */
+const TURN_MILLISECONDS = 250;
 
 /**
- * Creates the fetcher. Several relays announce the same policy. It is fetched from the first, from the others only if that one
- * is slow, and from the store if none of them answers.
+ * Creates the fetcher. Several nodes announce the same policy. It is fetched from the first, from the others only if that one
+ * is slow, and from the store if none of them answers. Each turn asks twice as many as the one before, so that the number of
+ * turns hardly grows with the number of announcers, and a newer policy does not wait for an earlier one.
  *
  * @param options - Dependencies, such as the request to another node.
  * @returns The fetcher.
@@ -40,12 +46,27 @@
  */
 export function createPolicyFetcher(options: PolicyFetcherOptions): PolicyFetcher {
   const { clock, currentRevision, logger, offer, readStore, request } = options;
-  /** Announced revisions that are being handled, by the address of the announcer. */
-  const handled = new Map<string, number>();
+  /** Announcements by address, of announcers that have not been asked yet. */
+  const waiting = new Map<string, WaitingAnnouncement>();
+  /** Announced revisions by address, of announcers that have been asked and have not answered yet. */
+  const asked = new Map<string, number>();
+  /** The newest announced revision while announcers are asked in turn, otherwise 0. */
+  let newest = 0;
+
+  const isNeeded = (revision: number): boolean => revision > currentRevision();
 
-  const fetch = async ({ address, revision }: PolicyAnnouncement): Promise<void> => {
+  const ask = async ({
+    address,
+    revision,
+    sinceMilliseconds,
+  }: WaitingAnnouncement): Promise<void> => {
+    waiting.delete(address);
+    asked.set(address, revision);
     const startedMilliseconds = clock.monotonicMilliseconds();
+    const waitedMilliseconds = Math.round(startedMilliseconds - sinceMilliseconds);
+    logger.log('policyRequested', { address, revision, waitedMilliseconds });
     const bytes = await request(address);
+    if (asked.get(address) === revision) asked.delete(address);
     if (bytes && bytes.length > 0) {
       offer(bytes, address);
       return;
@@ -54,27 +75,38 @@
     logger.log('policyFetchFailed', { address, revision, milliseconds });
   };
 
-  const handle = async (announcement: PolicyAnnouncement): Promise<void> => {
-    const { address, revision } = announcement;
-    const isNeeded = (): boolean => revision > currentRevision();
-    const delayMilliseconds = handled.size * NEXT_ANNOUNCER_DELAY_MILLISECONDS;
-    handled.set(address, revision);
-    if (delayMilliseconds > 0) await clock.sleep(delayMilliseconds);
-    if (isNeeded()) {
-      logger.log('policyRequested', { address, revision, waitedMilliseconds: delayMilliseconds });
-      await fetch(announcement);
+  /** Ends when the policy is in force, when nobody is left to ask, or when a newer one is announced, which begins anew. */
+  const askInTurn = async (target: number): Promise<void> => {
+    for (let count = 1; isNeeded(target); count *= 2) {
+      [...waiting.values()]
+        .filter(({ revision }) => isNeeded(revision))
+        .sort((left, right) => right.revision - left.revision)
+        .slice(0, count)
+        .forEach((announcement) => {
+          void ask(announcement);
+        });
+      if (![...asked.values()].some(isNeeded)) {
+        readStore();
+        break;
+      }
+      await clock.sleep(TURN_MILLISECONDS);
+      if (newest !== target) return;
     }
-    if (handled.get(address) === revision) handled.delete(address);
-    if (isNeeded() && handled.size === 0) readStore();
+    waiting.clear();
+    newest = 0;
   };
 
   return {
     announce: (announcement) => {
       const { address, revision } = announcement;
-      if ((handled.get(address) ?? 0) >= revision) return;
-      const announcers = handled.size;
+      const known = Math.max(waiting.get(address)?.revision ?? 0, asked.get(address) ?? 0);
+      if (!isNeeded(revision) || known >= revision) return;
+      const announcers = waiting.size + asked.size;
       logger.log('policyAnnounced', { ...announcement, current: currentRevision(), announcers });
-      void handle(announcement);
+      waiting.set(address, { ...announcement, sinceMilliseconds: clock.monotonicMilliseconds() });
+      if (revision <= newest) return;
+      newest = revision;
+      void askInTurn(revision);
     },
   };
 }
