sidecar: unread answers stay within the memory of the nodes

Cause: nothing bounded the answers on their way over calls, connections and entry nodes. A whole answer of up to 128 KiB was sent at once, of a longer one 256 KiB more before any of it was read; a serving node queued all of it on the connection to the entry node, whatever that one took, and kept up to 256 answers of each session for as long as the session was idle.

Change: an entry node states with each call how much of the answer it accepts before its caller reads, the less the more requests are in progress; a serving node sends the rest as the caller reads. Bytes that wait for other nodes have a limit over all connections, of which one that does not drain takes at most half; calls and bodies wait beyond it. Retained answers of all sessions have a limit in bytes, and expire when any session adds one. The three share the setting callers.answer_bytes.

--- a/packages/sidecar/src/index.ts
+++ b/packages/sidecar/src/index.ts
@@ -26,7 +26,7 @@
 export { exchange } from './lib/http/exchange';
 export type { ExchangeFailure, ExchangeResult } from './lib/http/ExchangeResult';
 export { listenAt } from './lib/http/listenAt';
-export type { ConnectionLimits } from './lib/http/connections/ConnectionLimits';
+export type { ConnectionLimits, ListenerLimits } from './lib/http/connections/ConnectionLimits';
 export { connectionLimitsFor } from './lib/http/connections/connectionLimitsFor';
 export { defaultConnectionLimits } from './lib/http/connections/defaultConnectionLimits';
 export { guardConnections } from './lib/http/connections/guardConnections';
--- a/packages/sidecar/src/lib/channel/BodyChannel.ts
+++ b/packages/sidecar/src/lib/channel/BodyChannel.ts
@@ -21,6 +21,15 @@
   readonly drop: () => void;
 }
 
+/** What the connection of a body takes. */
+export interface BodyOutlet {
+  readonly send: (part: BodyPartFields) => void;
+  /** @returns Whether the connection takes more now. */
+  readonly hasRoom: () => boolean;
+  /** @returns A promise that resolves when it may take more. */
+  readonly whenDrained: () => Promise<void>;
+}
+
 /**
  * Sends the rest of a body in parts, within the credit that the receiver grants.
  *
--- a/packages/sidecar/src/lib/channel/FrameConnection.ts
+++ b/packages/sidecar/src/lib/channel/FrameConnection.ts
@@ -12,5 +12,7 @@
   readonly lastReceivedMilliseconds: () => number;
   /** @returns Bytes that are buffered in the process and not yet handed to the operating system. */
   readonly pendingBytes: () => number;
+  /** @returns A promise that resolves when the operating system has taken all of these bytes, or the connection has ended. */
+  readonly whenDrained: () => Promise<void>;
   readonly destroy: () => void;
 }
--- a/packages/sidecar/src/lib/channel/callFrames.ts
+++ b/packages/sidecar/src/lib/channel/callFrames.ts
@@ -8,6 +8,7 @@
 
 import type { AttemptResult } from '../serving/AttemptResult';
 import type { CallAttempt } from '../serving/CallAttempt';
+import { answerWindowOf } from './answerWindowOf';
 import { joinHeaders, splitHeaders } from './headerText';
 
 const NO_BYTES = Buffer.alloc(0);
@@ -38,6 +39,7 @@
     repeatable: call.repeatable,
     repeated: call.isRepeat,
     costMilliseconds: call.costMilliseconds ?? 0,
+    answerWindowBytes: call.answerWindowBytes,
     remainingMilliseconds: Math.max(0, Math.floor(call.scope.remainingMilliseconds())),
     method: call.method,
     target: call.target,
@@ -68,6 +70,7 @@
     repeatable: message.repeatable,
     isRepeat: message.repeated,
     costMilliseconds: message.costMilliseconds > 0 ? message.costMilliseconds : undefined,
+    answerWindowBytes: answerWindowOf(message),
     method: message.method,
     target: message.target,
     headers: splitHeaders(message.headers),
--- a/packages/sidecar/src/lib/channel/createBodyReceiver.test.ts
+++ b/packages/sidecar/src/lib/channel/createBodyReceiver.test.ts
@@ -25,3 +25,16 @@
   await ended;
   test.equal(Buffer.concat(pieces).toString().slice(-2), 'yz');
 });
+
+// Guards against a sender that waits for credit without end because the first part of its body has used it up.
+void t.test('the first part of a body is granted again when the rest is read', async (test) => {
+  let grantedBytes = 0;
+  const receiver = createBodyReceiver((bytes) => {
+    grantedBytes += bytes;
+  }, 16_384);
+  await new Promise(setImmediate);
+  test.equal(grantedBytes, 0);
+  receiver.stream.resume();
+  await new Promise(setImmediate);
+  test.equal(grantedBytes, 16_384);
+});
--- a/packages/sidecar/src/lib/channel/createBodyReceiver.ts
+++ b/packages/sidecar/src/lib/channel/createBodyReceiver.ts
@@ -9,12 +9,17 @@
  * and not the other calls on the connection. Parts that are waiting for the reader are joined.
  *
  * @param grantCredit - Grants the sender further bytes.
+ * @param headBytes - Bytes of the body that came before the parts. They are granted again when the stream is first read, because its
+ *   reader has taken them by then.
  * @returns The receiver.
  * @internal
  */
-export function createBodyReceiver(grantCredit: (bytes: number) => void): BodyReceiver {
+export function createBodyReceiver(
+  grantCredit: (bytes: number) => void,
+  headBytes = 0,
+): BodyReceiver {
   const waiting = createByteCollector();
-  let ungrantedBytes = 0;
+  let ungrantedBytes = headBytes;
   let isWanted = false;
   const stream: Readable = new Readable({
     read: () => {
--- a/packages/sidecar/src/lib/channel/createBodySender.test.ts
+++ b/packages/sidecar/src/lib/channel/createBodySender.test.ts
@@ -3,13 +3,24 @@
 import { createSystemClock } from '@buckthornslip/common';
 import t from 'tap';
 
-import type { BodyPartFields } from './BodyChannel';
+import type { BodyOutlet, BodyPartFields } from './BodyChannel';
 import { createBodySender } from './createBodySender';
 
+const CREDIT_BYTES = 262_144;
+
 const clock = createSystemClock();
 const keepAlive = setInterval(() => undefined, 1_000);
 t.teardown(() => clearInterval(keepAlive));
 
+/** An outlet that takes everything at once. */
+function openOutlet(parts: BodyPartFields[]): BodyOutlet {
+  return {
+    send: (part) => parts.push(part),
+    hasRoom: () => true,
+    whenDrained: async () => undefined,
+  };
+}
+
 // Guards against a body whose receiver waits without end because its source had failed before it was sent.
 void t.test('a source that has already failed is sent as broken', async (test) => {
   const source = new Readable({ read: () => undefined });
@@ -17,7 +28,7 @@
   source.destroy(new Error('connection was reset'));
   await clock.sleep(10);
   const parts: BodyPartFields[] = [];
-  createBodySender(source, (part) => parts.push(part));
+  createBodySender(source, openOutlet(parts), CREDIT_BYTES);
   await clock.sleep(10);
   test.match(parts, [{ last: false, broken: true }]);
 });
@@ -26,7 +37,7 @@
 void t.test('a source that ends is sent once with its end', async (test) => {
   const source = Readable.from([Buffer.from('one'), Buffer.from('two')], { objectMode: false });
   const parts: BodyPartFields[] = [];
-  createBodySender(source, (part) => parts.push(part));
+  createBodySender(source, openOutlet(parts), CREDIT_BYTES);
   await clock.sleep(10);
   test.equal(Buffer.concat(parts.map(({ bytes }) => bytes)).toString(), 'onetwo');
   test.same(
@@ -34,3 +45,36 @@
     [false],
   );
 });
+
+// Guards against a body that fills the memory of the process while its connection takes nothing.
+void t.test('a body waits while its connection has no room', async (test) => {
+  const source = Readable.from([Buffer.from('one'), Buffer.from('two')], { objectMode: false });
+  const parts: BodyPartFields[] = [];
+  let hasRoom = false;
+  let resolveDrained = (): void => undefined;
+  const drained = new Promise<void>((resolve) => {
+    resolveDrained = resolve;
+  });
+  const outlet = { ...openOutlet(parts), hasRoom: () => hasRoom, whenDrained: () => drained };
+  const sender = createBodySender(source, outlet, CREDIT_BYTES);
+  await clock.sleep(10);
+  sender.addCredit(CREDIT_BYTES);
+  await clock.sleep(10);
+  test.equal(parts.map(({ bytes }) => bytes.toString()).join(), 'one');
+  hasRoom = true;
+  resolveDrained();
+  await clock.sleep(10);
+  test.equal(Buffer.concat(parts.map(({ bytes }) => bytes)).toString(), 'onetwo');
+});
+
+// Guards against a body that is sent although its receiver has accepted all that it can take.
+void t.test('a body without credit waits for it', async (test) => {
+  const source = Readable.from([Buffer.from('one')], { objectMode: false });
+  const parts: BodyPartFields[] = [];
+  const sender = createBodySender(source, openOutlet(parts), 0);
+  await clock.sleep(10);
+  test.same(parts, []);
+  sender.addCredit(1);
+  await clock.sleep(10);
+  test.equal(Buffer.concat(parts.map(({ bytes }) => bytes)).toString(), 'one');
+});
--- a/packages/sidecar/src/lib/channel/createBodySender.ts
+++ b/packages/sidecar/src/lib/channel/createBodySender.ts
@@ -1,10 +1,7 @@
 import type { Readable } from 'node:stream';
 
 import { whenClosed } from '../http/whenClosed';
-import type { BodyPartFields, BodySender } from './BodyChannel';
-
-/** Bytes that may be sent before the receiver grants credit. */
-const INITIAL_CREDIT_BYTES = 262_144;
+import type { BodyOutlet, BodySender } from './BodyChannel';
 
 const NO_BYTES = Buffer.alloc(0);
 
@@ -12,35 +9,50 @@
  * Starts sending the rest of a body.
  *
  * @param source - Stream of the rest of the body.
- * @param send - Sends one part.
+ * @param outlet - Where the parts go.
+ * @param initialCreditBytes - Bytes that may be sent before the receiver grants credit.
  * @returns The sender.
  * @internal
  */
 export function createBodySender(
   source: Readable,
-  send: (part: BodyPartFields) => void,
+  outlet: BodyOutlet,
+  initialCreditBytes: number,
 ): BodySender {
-  let credit = INITIAL_CREDIT_BYTES;
+  const { hasRoom, send, whenDrained } = outlet;
+  let credit = initialCreditBytes;
   let isEnded = false;
+  let isDraining = false;
   const end = (broken: boolean): void => {
     if (isEnded) return;
     isEnded = true;
     send({ bytes: NO_BYTES, last: !broken, broken });
   };
+  const readOn = (): void => {
+    if (credit > 0 && !isDraining && !isEnded) source.resume();
+  };
+  const waitForRoom = async (): Promise<void> => {
+    isDraining = true;
+    while (!isEnded && !hasRoom()) await whenDrained();
+    isDraining = false;
+    readOn();
+  };
   source.on('data', (bytes: Buffer) => {
     if (isEnded) return;
     credit -= bytes.length;
     send({ bytes, last: false, broken: false });
-    if (credit <= 0) source.pause();
+    if (!isDraining && !hasRoom()) void waitForRoom();
+    if (credit <= 0 || isDraining) source.pause();
   });
   source.once('end', () => end(false));
   source.once('error', () => end(true));
   whenClosed(source, () => end(!source.readableEnded));
-  source.resume();
+  if (credit > 0) source.resume();
+  else source.pause();
   return {
     addCredit: (bytes) => {
       credit += bytes;
-      if (credit > 0 && !isEnded) source.resume();
+      readOn();
     },
     stop: () => {
       isEnded = true;
--- a/packages/sidecar/src/lib/channel/createFrameConnection.ts
+++ b/packages/sidecar/src/lib/channel/createFrameConnection.ts
@@ -34,12 +34,26 @@
   let pending: Buffer[] = [];
   let isOpen = true;
   let lastReceivedMilliseconds = clock.monotonicMilliseconds();
+  let drained = Promise.resolve();
+  let resolveDrained = (): void => undefined;
   socket.setNoDelay(true);
 
+  const waitForDrain = (): void => {
+    drained = new Promise((resolve) => {
+      resolveDrained = resolve;
+    });
+    socket.once('drain', resolveDrained);
+  };
+
   const flush = (): void => {
     const frames = pending;
     pending = [];
-    if (isOpen) socket.write(frames.length === 1 ? (frames[0] as Buffer) : Buffer.concat(frames));
+    if (!isOpen) return;
+    const wasDrained = !socket.writableNeedDrain;
+    const isDrained = socket.write(
+      frames.length === 1 ? (frames[0] as Buffer) : Buffer.concat(frames),
+    );
+    if (wasDrained && !isDrained) waitForDrain();
   };
   const connection: FrameConnection = {
     send: (frame) => {
@@ -48,7 +62,8 @@
       pending.push(encodeFrame(frame));
     },
     lastReceivedMilliseconds: () => lastReceivedMilliseconds,
-    pendingBytes: () => socket.writableLength,
+    pendingBytes: () => (isOpen ? socket.writableLength : 0),
+    whenDrained: () => drained,
     destroy: () => {
       socket.destroy();
       end();
@@ -58,6 +73,7 @@
   function end(): void {
     if (!isOpen) return;
     isOpen = false;
+    resolveDrained();
     listener.onClose(connection);
   }
 
--- a/packages/sidecar/src/lib/channel/createPeerLink.test.ts
+++ b/packages/sidecar/src/lib/channel/createPeerLink.test.ts
@@ -21,6 +21,7 @@
 import { createPeerListener } from './createPeerListener';
 import { createTicker } from './createTicker';
 import type { PeerHandlers } from './PeerHandlers';
+import { FULL_ANSWER_WINDOW_BYTES } from '../serving/FULL_ANSWER_WINDOW_BYTES';
 
 const clock = createSystemClock();
 const keepAlive = setInterval(() => undefined, 1_000);
@@ -128,6 +129,7 @@
       pacer: createTurnPacer(() => 0),
       self,
       onReceived: () => undefined,
+      answerBytes: 1_048_576,
     },
     {
       serve,
@@ -166,6 +168,7 @@
     isNested: false,
     isRepeat: true,
     repeatable: false,
+    answerWindowBytes: FULL_ANSWER_WINDOW_BYTES,
     method: 'POST',
     target: '/path',
     headers: ['Name', 'value'],
--- a/packages/sidecar/src/lib/channel/createPeerLink.ts
+++ b/packages/sidecar/src/lib/channel/createPeerLink.ts
@@ -5,7 +5,7 @@
 
 import type { AttemptResult } from '../serving/AttemptResult';
 import type { CallAttempt } from '../serving/CallAttempt';
-import type { BodyReceiver, BodySender } from './BodyChannel';
+import type { BodyOutlet, BodyReceiver, BodySender } from './BodyChannel';
 import { fromAnswerMessage, toCallMessage } from './callFrames';
 import { channelTimes } from './channelTimes';
 import { createBodyReceiver } from './createBodyReceiver';
@@ -14,12 +14,19 @@
 import { createLostCalls } from './createLostCalls';
 import type { LinkConnection } from './createLinkConnector';
 import { createLinkConnector } from './createLinkConnector';
+import type { FrameConnection } from './FrameConnection';
 import type { Frame } from './frameCodec';
 import { isSameSession } from './isSameSession';
 import type { ExchangeFields, PeerLink } from './PeerLink';
 import type { PeerLinkOptions } from './PeerLinkOptions';
 import { toInterruptedCallsMessage, toSuspectsMessage } from './suspectFrames';
 
+/** Bytes of a request's body that may be sent before the other node grants credit. */
+const REQUEST_CREDIT_BYTES = 262_144;
+
+/** Buffered bytes above which the bodies of requests wait. */
+const MAXIMUM_PENDING_BODY_BYTES = 1_048_576;
+
 /** Buffered bytes above which no further call is sent on a connection. */
 const MAXIMUM_PENDING_BYTES = 8_388_608;
 
@@ -110,7 +117,7 @@
     if (message.bodyFollows) {
       pending.receiver = createBodyReceiver((bytes) => {
         send({ $case: 'bodyCredit', value: { id: message.id, bytes } });
-      });
+      }, message.body.length);
       pending.receiver.stream.once('close', () => {
         calls.delete(message.id);
         const isWhole = pending.receiver?.stream.readableEnded === true;
@@ -214,6 +221,12 @@
     stopChecking ??= ticker.add(check);
   };
 
+  const outletOf = (id: number, frames: FrameConnection): BodyOutlet => ({
+    send: (part) => send({ $case: 'bodyPart', value: { id, ...part } }),
+    hasRoom: () => frames.pendingBytes() <= MAXIMUM_PENDING_BODY_BYTES,
+    whenDrained: frames.whenDrained,
+  });
+
   const start = (connection: LinkConnection, call: CallAttempt): Promise<AttemptResult> =>
     new Promise((resolve) => {
       const { frames } = connection;
@@ -229,9 +242,7 @@
       frames.send({ $case: 'call', value: toCallMessage(id, call) });
       const sender =
         body.kind === 'stream'
-          ? createBodySender(body.stream, (part) =>
-              send({ $case: 'bodyPart', value: { id, ...part } }),
-            )
+          ? createBodySender(body.stream, outletOf(id, frames), REQUEST_CREDIT_BYTES)
           : undefined;
       const settleCall = (result: AttemptResult): void => {
         const rest = result.answer.kind === 'answer' ? result.answer.rest : undefined;
--- a/packages/sidecar/src/lib/channel/createPeerListener.ts
+++ b/packages/sidecar/src/lib/channel/createPeerListener.ts
@@ -7,8 +7,10 @@
 
 import { listenAt } from '../http/listenAt';
 import type { TurnPacer } from '../process/createTurnPacer';
+import { createAnswerRetention } from './createAnswerRetention';
 import { createFrameConnection } from './createFrameConnection';
 import type { FrameConnection } from './FrameConnection';
+import { createOutgoingBudget } from './createOutgoingBudget';
 import type { PeerSession } from './createPeerSession';
 import { createPeerSession } from './createPeerSession';
 import type { Frame } from './frameCodec';
@@ -29,6 +31,8 @@
   readonly clock: Clock;
   readonly logger: EventLogger;
   readonly pacer: TurnPacer;
+  /** Most bytes of answers that wait for other nodes to read them, and most that are retained in case they are lost. */
+  readonly answerBytes: number;
   /** This node. */
   readonly self: NodeIdentity;
   /** Called for each message of another node. */
@@ -47,7 +51,9 @@
   options: PeerListenerOptions,
   peerHandlers: PeerHandlers,
 ): PeerListener {
-  const { clock, logger, onReceived, pacer, self } = options;
+  const { answerBytes, clock, logger, onReceived, pacer, self } = options;
+  const outgoing = createOutgoingBudget(answerBytes);
+  const retention = createAnswerRetention(clock, answerBytes);
   const sessions = new Map<string, PeerSession>();
   let lastSession = 0;
   const sockets = new Set<Socket>();
@@ -57,7 +63,7 @@
     const known = sessions.get(key);
     if (known) return known;
     lastSession += 1;
-    const created = createPeerSession({ clock, logger, pacer }, peerHandlers, {
+    const created = createPeerSession({ clock, logger, outgoing, pacer, retention }, peerHandlers, {
       number: lastSession,
       onForgotten: () => sessions.delete(key),
     });
@@ -103,7 +109,7 @@
       },
     };
     sockets.add(socket);
-    createFrameConnection(clock, socket, {
+    const accepted = createFrameConnection(clock, socket, {
       onFrame: (frame, connection) => {
         onReceived();
         handlers[frame.$case]?.(frame.value as never, connection);
@@ -111,9 +117,11 @@
       onError: (kind, error) => logger.log('frameFailed', { kind, error: String(error) }),
       onClose: (connection) => {
         sockets.delete(socket);
+        outgoing.remove(connection);
         session?.detach(connection);
       },
     });
+    outgoing.add(accepted);
   };
 
   const server = createServer({ noDelay: true }, accept);
--- a/packages/sidecar/src/lib/channel/createPeerSession.test.ts
+++ b/packages/sidecar/src/lib/channel/createPeerSession.test.ts
@@ -9,28 +9,50 @@
 import { createTurnPacer } from '../process/createTurnPacer';
 import type { AttemptResult } from '../serving/AttemptResult';
 import type { CallAttempt } from '../serving/CallAttempt';
+import { createAnswerRetention } from './createAnswerRetention';
+import { createOutgoingBudget } from './createOutgoingBudget';
 import { createPeerSession } from './createPeerSession';
 import type { FrameConnection } from './FrameConnection';
 import type { Frame } from './frameCodec';
 
 const PART_BYTES = 65_536;
 
-function createConnection() {
+/** Most bytes of answers that wait and that are retained. */
+const ANSWER_BYTES = 1_048_576;
+
+/** A connection on which a number of bytes wait until it is drained. */
+function createConnection(pendingBytes = 0) {
   const sent: Frame[] = [];
+  let pending = pendingBytes;
+  let resolveDrained = (): void => undefined;
+  const drained = new Promise<void>((resolve) => {
+    resolveDrained = resolve;
+  });
   const connection: FrameConnection = {
     send: (frame) => sent.push(frame),
     lastReceivedMilliseconds: () => 0,
-    pendingBytes: () => 0,
+    pendingBytes: () => pending,
+    whenDrained: () => drained,
     destroy: () => undefined,
   };
-  return { connection, sent };
+  const drain = (): void => {
+    pending = 0;
+    resolveDrained();
+  };
+  return { connection, sent, drain };
 }
 
 /** Starts a session whose only call is served as given. */
 function startSession(serve: (call: CallAttempt) => Promise<AttemptResult>) {
   const clock = createFakeClock();
   const session = createPeerSession(
-    { clock, logger: createSilentLogger(), pacer: createTurnPacer(() => 0) },
+    {
+      clock,
+      logger: createSilentLogger(),
+      pacer: createTurnPacer(() => 0),
+      outgoing: createOutgoingBudget(ANSWER_BYTES),
+      retention: createAnswerRetention(clock, ANSWER_BYTES),
+    },
     {
       serve,
       grant: async () => ({ tokens: 1, retryAfterMilliseconds: 0 }),
@@ -55,6 +77,7 @@
     repeatable: true,
     repeated: false,
     costMilliseconds: 0,
+    answerWindowBytes: 0,
     remainingMilliseconds: 60_000,
     method: 'GET',
     target: '/',
@@ -142,3 +165,53 @@
 void t.test('a body that is being read is not dropped', async (test) => {
   test.equal((await upload(true))?.destroyed, false);
 });
+
+// Guards against calls whose answers fill the memory of a node because the other node does not read them.
+void t.test('a call waits while its connection has no room for its answer', async (test) => {
+  let served = 0;
+  const { call, session } = startSession(async () => {
+    served += 1;
+    return { answer: refuse('queue-full'), load: undefined };
+  });
+  const full = createConnection(ANSWER_BYTES);
+  session.attach(full.connection);
+  session.onCall(call);
+  await turn();
+  test.equal(served, 0);
+  full.drain();
+  await turn();
+  test.equal(served, 1);
+});
+
+// Guards against a call that runs for a caller that has left while it waited.
+void t.test('a call that is cancelled while it waits for room does not run', async (test) => {
+  const { call, session } = startSession(() => {
+    throw new Error('the call runs');
+  });
+  const full = createConnection(ANSWER_BYTES);
+  session.attach(full.connection);
+  session.onCall(call);
+  await turn();
+  session.onCancel({ id: call.id });
+  await turn();
+  const answers = full.sent.filter(({ $case }) => $case === 'answer');
+  test.match(answers, [{ value: { refusalReason: 'caller-gone', refusalOutcome: 'not-run' } }]);
+});
+
+// Guards against answers that an entry node with many unread ones gets faster than its callers read.
+void t.test('the rest of an answer beyond its window waits for credit', async (test) => {
+  const rest = Readable.from([Buffer.alloc(PART_BYTES), Buffer.alloc(PART_BYTES)]);
+  const { call, first, session } = startSession(async () => longAnswer(rest));
+  const answer = longAnswer(rest).answer as { readonly body: Buffer };
+  session.onCall({ ...call, answerWindowBytes: Math.max(1, answer.body.length) });
+  await turn();
+  const partBytes = (): number =>
+    first.sent.reduce(
+      (sum, frame) => sum + (frame.$case === 'bodyPart' ? frame.value.bytes.length : 0),
+      0,
+    );
+  test.ok(partBytes() <= PART_BYTES, `${partBytes()} bytes without credit`);
+  session.onBodyCredit({ id: call.id, bytes: 2 * PART_BYTES });
+  await turn();
+  test.equal(partBytes(), 2 * PART_BYTES);
+});
--- a/packages/sidecar/src/lib/channel/createPeerSession.ts
+++ b/packages/sidecar/src/lib/channel/createPeerSession.ts
@@ -10,22 +10,24 @@
 import { whenClosed } from '../http/whenClosed';
 import type { TurnPacer } from '../process/createTurnPacer';
 import type { AttemptResult } from '../serving/AttemptResult';
-import type { BodyReceiver, BodySender } from './BodyChannel';
+import { answerWindowOf } from './answerWindowOf';
+import type { BodyOutlet, BodyReceiver, BodySender } from './BodyChannel';
 import { fromCallMessage, toAnswerMessage } from './callFrames';
 import { channelTimes } from './channelTimes';
+import type { AnswerRetention } from './createAnswerRetention';
 import { createBodyReceiver } from './createBodyReceiver';
 import { createBodySender } from './createBodySender';
+import type { OutgoingBudget } from './createOutgoingBudget';
 import type { FrameConnection } from './FrameConnection';
 import type { PeerHandlers } from './PeerHandlers';
 
-/** Answers that are retained per session; each takes a few kilobytes. */
-const MAXIMUM_RETAINED_ANSWERS = 256;
-
 /** One call of the other node. */
 interface Attempt {
   readonly requestId: string;
   readonly receivedMilliseconds: number;
   readonly scope: CallScope;
+  /** Bytes of the answer's body that may be sent before the other node grants credit. */
+  readonly answerWindowBytes: number;
   receiver: BodyReceiver | undefined;
   sender: BodySender | undefined;
   result: AttemptResult | undefined;
@@ -65,6 +67,9 @@
   readonly logger: EventLogger;
   /** Spreads calls that arrive at once, so that their cancellations are read before they run. */
   readonly pacer: TurnPacer;
+  /** Bounds what waits for the other nodes to read it. */
+  readonly outgoing: OutgoingBudget;
+  readonly retention: AnswerRetention;
 }
 
 function refused(outcome: Outcome): AttemptResult {
@@ -86,7 +91,7 @@
 /**
  * Creates the session of another node's process.
  *
- * @param dependencies - Clock and logger.
+ * @param dependencies - Clock, logger, and what all sessions of this process share.
  * @param handlers - Handlers of the messages of other nodes.
  * @param settings - Number of the session and what to do at its end.
  * @returns The session, without a connection.
@@ -97,9 +102,8 @@
   handlers: PeerHandlers,
   { number, onForgotten }: PeerSessionSettings,
 ): PeerSession {
-  const { clock, logger, pacer } = dependencies;
+  const { clock, logger, outgoing, pacer, retention } = dependencies;
   const attempts = new Map<number, Attempt>();
-  const retainedAnswers: { readonly id: number; readonly untilMilliseconds: number }[] = [];
   let connection: FrameConnection | undefined;
   let highestId = 0;
   let stopTimers = (): void => undefined;
@@ -108,25 +112,17 @@
     connection?.send({ $case: 'answer', value: toAnswerMessage(id, result) });
   };
 
-  const sendRest = (id: number, attempt: Attempt, rest: Readable): void => {
-    Object.assign(attempt, {
-      sender: createBodySender(rest, (part) =>
-        connection?.send({ $case: 'bodyPart', value: { id, ...part } }),
-      ),
-    });
-  };
+  const hasRoom = (): boolean => !connection || outgoing.hasRoom(connection);
 
-  /** Answers expire when later ones are sent, which needs no timer. */
-  const expireAnswers = (): void => {
-    const now = clock.monotonicMilliseconds();
-    while (
-      retainedAnswers[0] &&
-      (retainedAnswers[0].untilMilliseconds < now ||
-        retainedAnswers.length > MAXIMUM_RETAINED_ANSWERS)
-    ) {
-      attempts.delete(retainedAnswers[0].id);
-      retainedAnswers.shift();
-    }
+  const outletOf = (id: number): BodyOutlet => ({
+    send: (part) => connection?.send({ $case: 'bodyPart', value: { id, ...part } }),
+    hasRoom,
+    whenDrained: async () => connection?.whenDrained(),
+  });
+
+  const sendRest = (id: number, attempt: Attempt, sentBytes: number, rest: Readable): void => {
+    const credit = attempt.answerWindowBytes - sentBytes;
+    Object.assign(attempt, { sender: createBodySender(rest, outletOf(id), credit) });
   };
 
   /** The rest of a long answer can't be resumed, so that nobody would read and close one that begins without a connection. */
@@ -145,13 +141,15 @@
 
   const finish = (id: number, attempt: Attempt, served: AttemptResult): void => {
     const result = withoutUnsendableRest(attempt.isOrphaned ? reportOrphaned(served) : served);
-    const rest = result.answer.kind === 'answer' ? result.answer.rest : undefined;
+    const { answer } = result;
+    const bodyBytes = answer.kind === 'answer' ? answer.body.length : 0;
+    const rest = answer.kind === 'answer' ? answer.rest : undefined;
     Object.assign(attempt, { result });
     dropUnreadBody(attempt);
     send(id, result);
     if (rest) {
       // The other node can't resume a body, so its call is needed only until the body ends.
-      sendRest(id, attempt, rest);
+      sendRest(id, attempt, bodyBytes, rest);
       whenClosed(rest, () => {
         attempt.scope.end();
         attempts.delete(id);
@@ -159,11 +157,7 @@
       return;
     }
     attempt.scope.end();
-    retainedAnswers.push({
-      id,
-      untilMilliseconds: clock.monotonicMilliseconds() + channelTimes.answerRetention,
-    });
-    expireAnswers();
+    retention.add(bodyBytes, () => attempts.delete(id));
   };
 
   const bodyOf = (
@@ -184,12 +178,23 @@
     });
   };
 
+  /** A call whose answer could not be sent on would only take memory. */
+  const waitForRoom = async (scope: CallScope): Promise<void> => {
+    const cancelled = new Promise<void>((resolve) => {
+      scope.onCancel(resolve);
+    });
+    while (connection && !hasRoom() && scope.cancelReason() === undefined) {
+      await Promise.race([connection.whenDrained(), cancelled]);
+    }
+  };
+
   const serve = async (
     message: channelMessages.Call,
     body: RequestBody,
     scope: CallScope,
   ): Promise<AttemptResult> => {
     await pacer.wait();
+    if (!hasRoom()) await waitForRoom(scope);
     const reason = scope.cancelReason();
     if (reason !== undefined) return { answer: refuse(reason, 'not-run'), load: undefined };
     return handlers.serve({ ...fromCallMessage(message), body, scope });
@@ -249,6 +254,7 @@
         requestId: message.requestId,
         receivedMilliseconds: clock.monotonicMilliseconds(),
         scope,
+        answerWindowBytes: answerWindowOf(message),
         receiver,
         sender: undefined,
         result: undefined,
--- a/packages/sidecar/src/lib/channel/malformedMessages.test.ts
+++ b/packages/sidecar/src/lib/channel/malformedMessages.test.ts
@@ -15,6 +15,7 @@
 import { createTicker } from './createTicker';
 import { createFrameReader, encodeFrame } from './frameCodec';
 import type { PeerHandlers } from './PeerHandlers';
+import { FULL_ANSWER_WINDOW_BYTES } from '../serving/FULL_ANSWER_WINDOW_BYTES';
 
 const SEED = 20_261_204;
 
@@ -33,6 +34,7 @@
       pacer: createTurnPacer(() => 0),
       self: identity('serving'),
       onReceived: () => undefined,
+      answerBytes: 1_048_576,
     },
     {
       serve: async () => ({ answer: refuse('queue-full'), load: undefined }),
@@ -72,6 +74,7 @@
     isNested: false,
     isRepeat: false,
     repeatable: false,
+    answerWindowBytes: FULL_ANSWER_WINDOW_BYTES,
     method: 'POST',
     target: '/',
     headers: [],
--- a/packages/sidecar/src/lib/entry/EntryOptions.ts
+++ b/packages/sidecar/src/lib/entry/EntryOptions.ts
@@ -49,6 +49,8 @@
   readonly refusesEarly: boolean;
   /** Most bytes of uploads that are kept whole; further uploads are streamed. */
   readonly uploadBytes: number;
+  /** Bytes of answers that may arrive before callers read them, shared out among the requests in progress. */
+  readonly answerWindowBytes: number;
   /** Spreads requests that arrive at once, so that the departure of their callers is noticed before they are sent on. */
   readonly pacer: TurnPacer;
   /** @returns Whether the node is stopping, so that callers should not reuse their connections. */
--- a/packages/sidecar/src/lib/entry/createEntry.test.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.test.ts
@@ -152,6 +152,7 @@
     },
     refusesEarly: true,
     uploadBytes: 33_554_432,
+    answerWindowBytes: 8_388_608,
     isStopping: () => refusesCallers,
     refusesCallers: () => refusesCallers,
     stopBound,
--- a/packages/sidecar/src/lib/entry/createEntry.ts
+++ b/packages/sidecar/src/lib/entry/createEntry.ts
@@ -12,6 +12,7 @@
 import { writeResponse } from '../http/writeResponse';
 import { regionsInForce } from '../policy/regionsInForce';
 import type { RequestHead } from '../protocol/RequestHead';
+import { createAnswerWindow } from './createAnswerWindow';
 import { createForwarder } from './createForwarder';
 import type { AcceptedRequest } from './AcceptedRequest';
 import { createRequestAcceptor } from './createRequestAcceptor';
@@ -93,6 +94,7 @@
   const uploadBudget = createBodyBudget(options.uploadBytes);
   const seenConnections = new WeakSet<Socket>();
   let running = 0;
+  const answerWindow = createAnswerWindow(options.answerWindowBytes, () => running);
 
   const logLeft = (head: RequestHead, route: string | undefined, arrivedMilliseconds: number) => {
     const milliseconds = Math.round(clock.monotonicMilliseconds() - arrivedMilliseconds);
@@ -234,6 +236,7 @@
         isNested: accepted.isNested,
         repeatable: route.repeatable,
         isRepeat: accepted.parent?.isRepeat ?? false,
+        answerWindowBytes: answerWindow(),
         method: request.method as string,
         target: request.url as string,
         headers: forwardableHeaders(request.rawHeaders, { without: protocol.reservedNames }),
--- a/packages/sidecar/src/lib/http/ExchangeRequest.ts
+++ b/packages/sidecar/src/lib/http/ExchangeRequest.ts
@@ -19,6 +19,8 @@
   readonly headers: readonly string[];
   readonly body: RequestBody;
   readonly scope: CallScope;
+  /** Longest first part of a response, in bytes; shorter responses are buffered until they are complete. By default, no limit. */
+  readonly headBytes?: number;
   /**
    * @returns Whether the request may be sent now. Asked when it gets an open connection, for which it may have waited.
    */
--- a/packages/sidecar/src/lib/http/connections/ConnectionLimits.ts
+++ b/packages/sidecar/src/lib/http/connections/ConnectionLimits.ts
@@ -15,8 +15,20 @@
    * arrive.
    */
   readonly uploadBytes: number;
+  /**
+   * Bytes of answers that may arrive before callers read them, that may wait for other nodes to read them, and that are retained in
+   * case they are lost on their way, for each of the three. A request whose answer would need more gets it as its caller reads.
+   */
+  readonly answerBytes: number;
   /** Most open connections. */
   readonly connections: number;
   /** Time without progress after which a connection with an unfinished body or an unread response is closed. */
   readonly stallMilliseconds: number;
 }
+
+/**
+ * The limits that apply to any listener, also to one that passes nothing on.
+ *
+ * @public
+ */
+export type ListenerLimits = Omit<ConnectionLimits, 'uploadBytes' | 'answerBytes'>;
--- a/packages/sidecar/src/lib/http/connections/defaultConnectionLimits.ts
+++ b/packages/sidecar/src/lib/http/connections/defaultConnectionLimits.ts
@@ -11,6 +11,7 @@
   requests: 4_096,
   keptBytes: 25_165_824,
   uploadBytes: 16_777_216,
+  answerBytes: 8_388_608,
   connections: 2_048,
   stallMilliseconds: 60_000,
 };
--- a/packages/sidecar/src/lib/http/connections/guardConnections.ts
+++ b/packages/sidecar/src/lib/http/connections/guardConnections.ts
@@ -4,7 +4,7 @@
 import type { Clock } from '@buckthornslip/common';
 import type { EventLogger } from '@buckthornslip/telemetry';
 
-import type { ConnectionLimits } from './ConnectionLimits';
+import type { ListenerLimits } from './ConnectionLimits';
 import type { ProgressWatch } from './createProgressWatch';
 import { createProgressWatch } from './createProgressWatch';
 import type { RequestGate } from './createRequestGate';
@@ -26,7 +26,7 @@
 export interface ConnectionGuardOptions {
   readonly clock: Pick<Clock, 'monotonicMilliseconds' | 'setTimer'>;
   readonly logger: EventLogger;
-  readonly limits: Omit<ConnectionLimits, 'uploadBytes'>;
+  readonly limits: ListenerLimits;
   /** Name of the listener in log lines. */
   readonly listener: string;
   /** Called for each connection that a limit has held or closed. */
--- a/packages/sidecar/src/lib/http/exchange.test.ts
+++ b/packages/sidecar/src/lib/http/exchange.test.ts
@@ -169,6 +169,25 @@
   });
 });
 
+// Guards against a response whose parts are lost or exchanged because its first part is shorter than what has arrived.
+void t.test('a response is split after the longest first part', async (test) => {
+  const headBytes = 10_000;
+  const body = Buffer.from(Array.from({ length: LONG_BYTES }, (_, index) => index % 251));
+  const answer = (socket: Socket): void => {
+    socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n`);
+    socket.write(body);
+  };
+  await withServer(answer, async (_get, pool) => {
+    const scope = createCallScope(clock, 5_000);
+    const result = await exchange({ ...ANY_RESPONSE, pool, scope, headBytes });
+    scope.end();
+    if (result.kind !== 'stream') throw new Error(`expected a long response, got ${result.kind}`);
+    const rest: Buffer[] = await result.rest.toArray();
+    test.equal(result.head.length, headBytes);
+    test.ok(Buffer.concat([result.head, ...rest]).equals(body));
+  });
+});
+
 // Guards against a response in chunks or with a length that appears complete although its connection ended early.
 void t.test('a long framed response that is cut off does not appear complete', async (test) => {
   const heads = {
--- a/packages/sidecar/src/lib/http/exchange.ts
+++ b/packages/sidecar/src/lib/http/exchange.ts
@@ -61,6 +61,8 @@
  */
 export function exchange(options: ExchangeRequest): Promise<ExchangeResult> {
   const { method, pool, scope, target } = options;
+  const { headBytes = Infinity } = options;
+  const bufferedBytes = Math.min(MAXIMUM_BUFFERED_RESPONSE_BYTES, headBytes);
   return new Promise((resolve) => {
     let isSettled = false;
     let isSent = false;
@@ -111,13 +113,15 @@
       const onData = (piece: Buffer): void => {
         collector.add(piece);
         pieces += 1;
-        if (collector.size() > MAXIMUM_BUFFERED_RESPONSE_BYTES) {
+        if (collector.size() > bufferedBytes) {
           source.off('data', onData);
           // Without a listener, a flowing stream would lose what follows.
           if (source !== response) source.pause();
           streamed = response;
           const rest = source === response ? coalesce(response, { pacer }) : source;
-          settle({ kind: 'stream', response, head: collector.take(), rest });
+          const collected = collector.take();
+          if (collected.length > headBytes) rest.unshift(collected.subarray(headBytes));
+          settle({ kind: 'stream', response, head: collected.subarray(0, headBytes), rest });
         } else if (pieces === MAXIMUM_DIRECT_PIECES) joinPieces();
       };
       const onEnd = (): void => {
--- a/packages/sidecar/src/lib/process/createSidecar.ts
+++ b/packages/sidecar/src/lib/process/createSidecar.ts
@@ -458,6 +458,7 @@
     links,
     refusesEarly: options.refusesEarly,
     uploadBytes: options.connectionLimits.uploadBytes,
+    answerWindowBytes: options.connectionLimits.answerBytes,
     isStopping: () => isStopping,
     refusesCallers: () => refusesCallers,
     stopBound: entryStopBound,
@@ -491,7 +492,14 @@
     return toExchangeFields(whole, policy.currentBytes(), false);
   };
   const peerListener = createPeerListener(
-    { clock, logger, pacer, self: { host, incarnation }, onReceived: recordContact },
+    {
+      clock,
+      logger,
+      pacer,
+      answerBytes: options.connectionLimits.answerBytes,
+      self: { host, incarnation },
+      onReceived: recordContact,
+    },
     {
       serve: callServer.serve,
       grant: ledger.grant,
--- a/packages/sidecar/src/lib/serving/CallAttempt.ts
+++ b/packages/sidecar/src/lib/serving/CallAttempt.ts
@@ -33,6 +33,8 @@
    * Service time that the entry node expects on an average upstream of the service, in milliseconds; undefined if it expects none.
    */
   readonly costMilliseconds?: number | undefined;
+  /** Bytes of the answer's body that the entry node accepts before its caller has read any. */
+  readonly answerWindowBytes: number;
   readonly method: string;
   readonly target: string;
   /** End-to-end headers of the request, as alternating names and values. */
--- a/packages/sidecar/src/lib/serving/createCallServer.test.ts
+++ b/packages/sidecar/src/lib/serving/createCallServer.test.ts
@@ -14,6 +14,7 @@
 import { createCallServer } from './createCallServer';
 import { createNestedShares } from './createNestedShares';
 import type { UpstreamInstance } from './UpstreamInstance';
+import { FULL_ANSWER_WINDOW_BYTES } from './FULL_ANSWER_WINDOW_BYTES';
 
 const service = 'service' as ServiceId;
 const clock = createSystemClock();
@@ -130,6 +131,7 @@
       isNested: false,
       repeatable: true,
       isRepeat: false,
+      answerWindowBytes: FULL_ANSWER_WINDOW_BYTES,
       method: 'GET',
       target: '/',
       headers: [],
--- a/packages/sidecar/src/lib/serving/createCallServer.ts
+++ b/packages/sidecar/src/lib/serving/createCallServer.ts
@@ -272,6 +272,7 @@
       headers: [...call.headers, ...added],
       body: call.body,
       scope: call.scope,
+      headBytes: call.answerWindowBytes,
       isExpectedResponse: (response) => {
         head = protocol.readResponse(response.headers);
         return head.requestId === requestId;
--- a/packages/sidecar/src/lib/serving/createSuspects.test.ts
+++ b/packages/sidecar/src/lib/serving/createSuspects.test.ts
@@ -10,6 +10,7 @@
 import { createSuspects } from './createSuspects';
 import type { CallEnding, Suspects } from './createSuspects';
 import type { UpstreamInstance } from './UpstreamInstance';
+import { FULL_ANSWER_WINDOW_BYTES } from './FULL_ANSWER_WINDOW_BYTES';
 
 const SEED = 20_261_205;
 const clock = createFakeClock();
@@ -26,6 +27,7 @@
     isNested: false,
     isRepeat: false,
     repeatable: true,
+    answerWindowBytes: FULL_ANSWER_WINDOW_BYTES,
     method: 'GET',
     target: '/culprit',
     headers: [],
