sidecar: no more of a body is sent than its receiver has granted

Cause: the sender of a body checked its credit before it read a piece of up to 64 KiB, and sent the piece as a whole, so that small windows of many answers were exceeded by far.

Evidence: createBodySender.test.ts, "no more is sent than the credit", fails without the change.

Change: a piece is split at the credit.

--- a/packages/sidecar/src/lib/channel/createBodySender.test.ts
+++ b/packages/sidecar/src/lib/channel/createBodySender.test.ts
@@ -74,7 +74,28 @@
   const sender = createBodySender(source, openOutlet(parts), 0);
   await clock.sleep(10);
   test.same(parts, []);
-  sender.addCredit(1);
+  sender.addCredit(CREDIT_BYTES);
   await clock.sleep(10);
   test.equal(Buffer.concat(parts.map(({ bytes }) => bytes)).toString(), 'one');
 });
+
+// Guards against a receiver of many bodies that gets a whole read of each, whatever it has granted.
+void t.test('no more is sent than the credit', async (test) => {
+  const body = Buffer.from(Array.from({ length: 100_000 }, (_, index) => index % 251));
+  const source = Readable.from([body.subarray(0, 65_536), body.subarray(65_536)], {
+    objectMode: false,
+  });
+  const parts: BodyPartFields[] = [];
+  const sent = (): Buffer => Buffer.concat(parts.map(({ bytes }) => bytes));
+  const sender = createBodySender(source, openOutlet(parts), 10_000);
+  await clock.sleep(10);
+  test.equal(sent().length, 10_000);
+  for (let granted = 10_000; granted < body.length; granted += 10_000) {
+    sender.addCredit(10_000);
+    await clock.sleep(5);
+    test.equal(sent().length, Math.min(granted + 10_000, body.length));
+  }
+  await clock.sleep(10);
+  test.ok(sent().equals(body));
+  test.match(parts.at(-1), { last: true, broken: false });
+});
--- a/packages/sidecar/src/lib/channel/createBodySender.ts
+++ b/packages/sidecar/src/lib/channel/createBodySender.ts
@@ -39,10 +39,12 @@
   };
   source.on('data', (bytes: Buffer) => {
     if (isEnded) return;
-    credit -= bytes.length;
-    send({ bytes, last: false, broken: false });
+    const part = bytes.subarray(0, credit);
+    credit -= part.length;
+    send({ bytes: part, last: false, broken: false });
     if (!isDraining && !hasRoom()) void waitForRoom();
     if (credit <= 0 || isDraining) source.pause();
+    if (part.length < bytes.length) source.unshift(bytes.subarray(part.length));
   });
   source.once('end', () => end(false));
   source.once('error', () => end(true));
