sidecar: lower defaults for what an entry node keeps for callers

Cause: with 2,000 connections, which the limits allow, what an entry node keeps for its callers exceeds the memory of the smallest host beside its heap: connections without progress are closed only when twice callers.kept_bytes is kept, and the windows of 4,096 requests add up.

Change: callers.kept_bytes is 12 MiB by default, the smallest window of an answer 8 KiB.

--- a/packages/sidecar/src/lib/entry/createAnswerWindow.ts
+++ b/packages/sidecar/src/lib/entry/createAnswerWindow.ts
@@ -1,7 +1,7 @@
 import { FULL_ANSWER_WINDOW_BYTES } from '../serving/FULL_ANSWER_WINDOW_BYTES';
 
 /** Smallest window, in bytes. Most answers are shorter, and need no credit. */
-const MINIMUM_WINDOW_BYTES = 16_384;
+const MINIMUM_WINDOW_BYTES = 8_192;
 
 /**
  * Creates the choice of how much of an answer may arrive before its caller reads it. Callers that do not read their answers would
--- a/packages/sidecar/src/lib/http/connections/defaultConnectionLimits.ts
+++ b/packages/sidecar/src/lib/http/connections/defaultConnectionLimits.ts
@@ -9,7 +9,7 @@
 export const defaultConnectionLimits: ConnectionLimits = {
   requestsAhead: 4,
   requests: 4_096,
-  keptBytes: 25_165_824,
+  keptBytes: 12_582_912,
   uploadBytes: 16_777_216,
   answerBytes: 8_388_608,
   connections: 2_048,
