telemetry: lines are dropped while nobody reads standard output

Cause: the limit is on lines per second, and Node.js keeps in memory what a pipe does not take.

Evidence: createBoundedWriter.test.ts, "lines are dropped and counted while the output takes none", failed before: 24 MB wait after a minute.

Change: lines are dropped and counted while 1 MiB waits.

--- a/packages/telemetry/src/lib/logging/createBoundedWriter.test.ts
+++ b/packages/telemetry/src/lib/logging/createBoundedWriter.test.ts
@@ -39,3 +39,31 @@
   writer.write('line', false);
   test.equal(reported, MANY_LINES - kept);
 });
+
+// Guards against a process whose memory grows with its log while nobody reads its standard output.
+void t.test('lines are dropped and counted while the output takes none', async (test) => {
+  const clock = createFakeClock();
+  let waiting = 0;
+  let reported = 0;
+  const writer = createBoundedWriter(
+    clock,
+    (text) => {
+      waiting += text.length;
+    },
+    () => waiting,
+  );
+  writer.onDropped((count) => {
+    reported += count;
+  });
+  const line = 'x'.repeat(1_000);
+  for (let seconds = 0; seconds < 60; seconds += 1) {
+    for (let lines = 0; lines < 400; lines += 1) writer.write(line, true);
+    await clock.advance(1_000);
+  }
+  test.ok(waiting < 2 * 1_048_576, `${waiting} bytes wait`);
+  waiting = 0;
+  writer.write(line, true);
+  await clock.advance(1_000);
+  test.equal(waiting, line.length + 1);
+  test.ok(reported > 0, `${reported} dropped lines are reported`);
+});
--- a/packages/telemetry/src/lib/logging/createBoundedWriter.ts
+++ b/packages/telemetry/src/lib/logging/createBoundedWriter.ts
@@ -36,6 +36,9 @@
 
 const OTHER_LINES: LineLimit = { linesPerSecond: 100, burst: 1_000 };
 
+/** Bytes that the output has not taken above which lines are dropped: some seconds of lines at their limits. */
+const MAXIMUM_WAITING_BYTES = 1_048_576;
+
 /** @returns A full bucket of lines. */
 const createLineBucket = (clock: Clock, { burst, linesPerSecond }: LineLimit): TokenBucket =>
   createTokenBucket(clock, () => ({ tokensPerSecond: linesPerSecond, capacity: burst }), burst);
@@ -45,10 +48,15 @@
  *
  * @param clock - Source of time.
  * @param output - Writes a batch of lines.
+ * @param waitingBytes - Returns the bytes that the output has been given and has not written yet, which are none by default.
  * @returns The writer.
  * @public
  */
-export function createBoundedWriter(clock: Clock, output: (text: string) => void): BoundedWriter {
+export function createBoundedWriter(
+  clock: Clock,
+  output: (text: string) => void,
+  waitingBytes: () => number = () => 0,
+): BoundedWriter {
   let pending: string[] = [];
   const callLines = createLineBucket(clock, CALL_LINES);
   const otherLines = createLineBucket(clock, OTHER_LINES);
@@ -74,7 +82,7 @@
   return {
     write: (line, isPerCall) => {
       const lines = isPerCall ? callLines : otherLines;
-      if (lines.available() < 1) {
+      if (lines.available() < 1 || waitingBytes() > MAXIMUM_WAITING_BYTES) {
         dropped += 1;
         return;
       }
