sidecar: requests ahead are limited however their bodies are cut

Cause: the gate of a connection checks its limits between two messages only.

Change: a request that has begun beyond the limit waits in its body until the requests before it have ended. A request without others on its connection never waits.

--- a/packages/sidecar/src/lib/http/connections/createRequestGate.ts
+++ b/packages/sidecar/src/lib/http/connections/createRequestGate.ts
@@ -54,11 +54,15 @@
  * been paused meanwhile.
  *
  * @param socket - A connection that an HTTP server has accepted and not read yet.
- * @param mayPass - Whether another request of the connection may be parsed.
+ * @param mayPass - Whether another request of the connection may be parsed, or the given one, which has begun. A slice may end one
+ *   request and begin the next.
  * @returns The gate.
  * @internal
  */
-export function createRequestGate(socket: Socket, mayPass: () => boolean): RequestGate {
+export function createRequestGate(
+  socket: Socket,
+  mayPass: (begun: IncomingMessage | undefined) => boolean,
+): RequestGate {
   const parse = socket.listeners('data').at(-1) as Listener;
   const finish = socket.listeners('end').at(-1) as Listener;
   let waiting: Buffer | undefined;
@@ -89,8 +93,9 @@
     !current.complete &&
     (current.isPaused() || current.readableLength >= current.readableHighWaterMark);
 
-  const isBlocked = (): boolean =>
-    isParserPaused() || isBodyHeld() || (isBetweenMessages() && !mayPass());
+  const isOverLimit = (): boolean => !mayPass(isBetweenMessages() ? undefined : current);
+
+  const isBlocked = (): boolean => isParserPaused() || isBodyHeld() || isOverLimit();
 
   const passSlice = (buffer: Buffer): void => {
     const slice = buffer.subarray(0, sliceBytes());
@@ -164,6 +169,6 @@
     passedBytes: () => passedBytes,
     bodyBytes: () => (isBetweenMessages() ? 0 : bodyBytes),
     waitingBytes: () => (waiting?.length ?? 0) + socket.readableLength,
-    isHeld: () => waiting !== undefined && isBetweenMessages() && !mayPass(),
+    isHeld: () => waiting !== undefined && isOverLimit(),
   };
 }
--- a/packages/sidecar/src/lib/http/connections/guardConnections.test.ts
+++ b/packages/sidecar/src/lib/http/connections/guardConnections.test.ts
@@ -112,6 +112,30 @@
   test.same(answered, paths);
 });
 
+// Guards against requests that are not limited because each read ends the body of one and begins the next, for example with trailers.
+void t.test('requests ahead with bodies wait, however they are cut', async (test) => {
+  for (const trailerBytes of [1, 900, 1_500, 6_000]) {
+    const waiting: ServerResponse[] = [];
+    let begun = 0;
+    const { open } = await start(test, (request, response) => {
+      begun += 1;
+      request.resume();
+      waiting.push(response);
+    });
+    const { socket, text } = await open();
+    const head = 'POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n';
+    const trailer = `T: ${'t'.repeat(trailerBytes)}\r\n`;
+    socket.write(`${head}1\r\nx\r\n0\r\n${trailer}\r\n`.repeat(200));
+    await sleep(300);
+    test.ok(begun <= defaultConnectionLimits.requestsAhead + 10, `${begun} begun`);
+    const isDone = await until(() => {
+      waiting.splice(0).forEach((response) => response.end('<done>'));
+      return text().split('<done>').length === 201;
+    });
+    test.ok(isDone, 'all are answered');
+  }
+});
+
 // Guards against bodies that are cut, mixed up or stuck when they are passed to the parser in slices.
 void t.test('bodies arrive whole, however they are cut', async (test) => {
   const random = createSeededRandom(SEED);
--- a/packages/sidecar/src/lib/http/connections/guardConnections.ts
+++ b/packages/sidecar/src/lib/http/connections/guardConnections.ts
@@ -129,9 +129,17 @@
     socket.destroy();
   };
 
-  const mayPass = (exchanges: ReadonlySet<Exchange>): boolean =>
-    exchanges.size === 0 ||
-    (!isPressed && exchanges.size < limits.requestsAhead && requests < limits.requests);
+  /** @returns Whether a connection may pass on another request, or one that has begun beside the others. */
+  const mayPass = (
+    exchanges: ReadonlySet<Exchange>,
+    begun: IncomingMessage | undefined,
+  ): boolean => {
+    let others = 0;
+    for (const { request } of exchanges) if (request !== begun) others += 1;
+    return (
+      others === 0 || (!isPressed && others < limits.requestsAhead && requests < limits.requests)
+    );
+  };
 
   const stalledFor = ({ progress }: Connection): number => progress.stalledMilliseconds();
 
@@ -213,7 +221,7 @@
   server.on('connection', (socket: Socket) => {
     if (connections.size >= limits.connections) makeRoom();
     const exchanges = new Set<Exchange>();
-    const gate = createRequestGate(socket, () => mayPass(exchanges));
+    const gate = createRequestGate(socket, (begun) => mayPass(exchanges, begun));
     const progress = createProgressWatch(
       clock,
       () => gate.passedBytes() + socket.bytesWritten - queuedBytes(socket),
