--- a/packages/sidecar/src/lib/channel/createPeerSession.ts
+++ b/packages/sidecar/src/lib/channel/createPeerSession.ts
@@ -179,13 +179,17 @@
   };
 
   /** A call whose answer could not be sent on would only take memory. */
-  const waitForRoom = async (scope: CallScope): Promise<void> => {
+  const waitForRoom = async (requestId: string, scope: CallScope): Promise<void> => {
+    const startedMilliseconds = clock.monotonicMilliseconds();
+    const waitingBytes = connection?.pendingBytes();
     const cancelled = new Promise<void>((resolve) => {
       scope.onCancel(resolve);
     });
     while (connection && !hasRoom() && scope.cancelReason() === undefined) {
       await Promise.race([connection.whenDrained(), cancelled]);
     }
+    const milliseconds = Math.round(clock.monotonicMilliseconds() - startedMilliseconds);
+    logger.log('callHeld', { requestId, waitingBytes, milliseconds });
   };
 
   const serve = async (
@@ -194,7 +198,7 @@
     scope: CallScope,
   ): Promise<AttemptResult> => {
     await pacer.wait();
-    if (!hasRoom()) await waitForRoom(scope);
+    if (!hasRoom()) await waitForRoom(message.requestId, scope);
     const reason = scope.cancelReason();
     if (reason !== undefined) return { answer: refuse(reason, 'not-run'), load: undefined };
     return handlers.serve({ ...fromCallMessage(message), body, scope });
--- a/packages/telemetry/src/lib/events/sidecarEvents.ts
+++ b/packages/telemetry/src/lib/events/sidecarEvents.ts
@@ -68,6 +68,12 @@
     message: 'entry node cancelled a call, or can not be reached any more',
     perCall: true,
   },
+  callHeld: {
+    number: 7014,
+    level: 'warn',
+    message: 'call waited because its entry node does not read its answers fast enough',
+    perCall: true,
+  },
   bodyTooLong: {
     number: 7007,
     level: 'info',
